Add domain types, peer codec and checks

Cause: the module is empty; every later part needs shared types that check themselves on decoding, and a codec that carries them between entries. Ruled out: protobuf, which would hold a second set of types beside the tagged domain types; two configuration objects, because a check across defaults and exceptions would not hold when two changes race. Before: nothing. Conclusion: packages can build on these types.

--- /dev/null
+++ b/id.go
@@ -0,0 +1,91 @@
+package eelgrassbeam
+
+import "fmt"
+
+// maxIDBytes bounds the length of every identifier.
+const maxIDBytes = 128
+
+type (
+	// EntryID names an entry instance.
+	EntryID string
+	// UpstreamID names a backend server as an upstream.
+	UpstreamID string
+	// ZoneID names an availability zone.
+	ZoneID string
+	// RegionID names a region.
+	RegionID string
+	// ServiceName names a shared service.
+	ServiceName string
+	// CustomerID names the customer on whose behalf a request is sent; it may be empty.
+	CustomerID string
+	// RequestID names one request end to end.
+	RequestID string
+	// ChangeID names one configuration change.
+	ChangeID string
+	// IdempotencyKey names one non-idempotent operation across repeats; it may be empty.
+	IdempotencyKey string
+)
+
+// UnmarshalText decodes and checks the identifier.
+func (id *EntryID) UnmarshalText(text []byte) error { return decodeID(id, "entry id", text, false) }
+
+// UnmarshalText decodes and checks the identifier.
+func (id *UpstreamID) UnmarshalText(text []byte) error {
+	return decodeID(id, "upstream id", text, false)
+}
+
+// UnmarshalText decodes and checks the identifier.
+func (id *ZoneID) UnmarshalText(text []byte) error { return decodeID(id, "zone id", text, false) }
+
+// UnmarshalText decodes and checks the identifier.
+func (id *RegionID) UnmarshalText(text []byte) error { return decodeID(id, "region id", text, false) }
+
+// UnmarshalText decodes and checks the name.
+func (n *ServiceName) UnmarshalText(text []byte) error {
+	return decodeID(n, "service name", text, false)
+}
+
+// UnmarshalText decodes and checks the identifier.
+func (id *CustomerID) UnmarshalText(text []byte) error {
+	return decodeID(id, "customer id", text, true)
+}
+
+// UnmarshalText decodes and checks the identifier.
+func (id *RequestID) UnmarshalText(text []byte) error {
+	return decodeID(id, "request id", text, false)
+}
+
+// UnmarshalText decodes and checks the identifier.
+func (id *ChangeID) UnmarshalText(text []byte) error { return decodeID(id, "change id", text, false) }
+
+// UnmarshalText decodes and checks the key.
+func (k *IdempotencyKey) UnmarshalText(text []byte) error {
+	return decodeID(k, "idempotency key", text, true)
+}
+
+func decodeID[T ~string](target *T, what string, text []byte, emptyAllowed bool) error {
+	if len(text) == 0 && !emptyAllowed {
+		return fmt.Errorf("%w: %s is empty", ErrInvalid, what)
+	}
+	if len(text) > maxIDBytes {
+		return fmt.Errorf("%w: %s has %d bytes: want at most %d", ErrInvalid, what, len(text), maxIDBytes)
+	}
+	for _, b := range text {
+		if !isIDByte(b) {
+			return fmt.Errorf("%w: %s %q: want letters, digits and -._:/", ErrInvalid, what, text)
+		}
+	}
+	*target = T(text)
+	return nil
+}
+
+func isIDByte(b byte) bool {
+	switch {
+	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
+		return true
+	case b == '-', b == '.', b == '_', b == ':', b == '/':
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/instance.go
@@ -0,0 +1,86 @@
+package eelgrassbeam
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+)
+
+// InstanceKind tells what runs on an instance.
+type InstanceKind string
+
+// The kinds of instance.
+const (
+	InstanceEntry         InstanceKind = "entry"
+	InstanceBackendServer InstanceKind = "backend_server"
+)
+
+// UnmarshalText decodes and checks the kind.
+func (k *InstanceKind) UnmarshalText(text []byte) error {
+	return decodeEnum(k, "instance kind", text, InstanceEntry, InstanceBackendServer)
+}
+
+// InstanceState tells whether an instance stays.
+type InstanceState string
+
+// The states of an instance. The platform's list knows live and leaving; failed is the system's own finding.
+const (
+	InstanceLive    InstanceState = "live"
+	InstanceLeaving InstanceState = "leaving"
+	InstanceFailed  InstanceState = "failed"
+)
+
+// UnmarshalText decodes and checks the state.
+func (s *InstanceState) UnmarshalText(text []byte) error {
+	return decodeEnum(s, "instance state", text, InstanceLive, InstanceLeaving, InstanceFailed)
+}
+
+// Instance is one row of the platform's instance list.
+type Instance struct {
+	ID      string         `json:"id"`
+	Kind    InstanceKind   `json:"kind"`
+	State   InstanceState  `json:"state"`
+	Zone    ZoneID         `json:"zone"`
+	Region  RegionID       `json:"region"`
+	Service ServiceName    `json:"service,omitempty"`
+	Address netip.AddrPort `json:"address"`
+	// PeerAddress and OperatorAddress are set for entries only.
+	PeerAddress     netip.AddrPort `json:"peer_address,omitzero"`
+	OperatorAddress netip.AddrPort `json:"operator_address,omitzero"`
+}
+
+// UnmarshalJSON decodes and checks the row.
+func (i *Instance) UnmarshalJSON(data []byte) error {
+	type plain Instance
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return fmt.Errorf("%w: instance: %w", ErrInvalid, err)
+	}
+	if err := Instance(decoded).Validate(); err != nil {
+		return err
+	}
+	*i = Instance(decoded)
+	return nil
+}
+
+// Validate checks the row's fields against each other.
+func (i Instance) Validate() error {
+	switch {
+	case i.ID == "":
+		return fmt.Errorf("%w: instance has no id", ErrInvalid)
+	case !i.Address.IsValid():
+		return fmt.Errorf("%w: instance %s has no address", ErrInvalid, i.ID)
+	case i.Kind == InstanceEntry && !i.PeerAddress.IsValid():
+		return fmt.Errorf("%w: entry %s has no peer address", ErrInvalid, i.ID)
+	case i.Kind == InstanceBackendServer && i.Service == "":
+		return fmt.Errorf("%w: backend server %s has no service", ErrInvalid, i.ID)
+	default:
+		return nil
+	}
+}
+
+// InstanceList is the platform's lagging list of instances.
+type InstanceList struct {
+	Revision  uint64     `json:"revision"`
+	Instances []Instance `json:"instances"`
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/grpc/encoding"
+)
+
+// CodecName is the content subtype of messages between entries.
+const CodecName = "cbor"
+
+// codec carries tagged domain types as CBOR; text-marshalling types check themselves on decoding.
+type codec struct {
+	enc cbor.EncMode
+	dec cbor.DecMode
+}
+
+func newCodec() (codec, error) {
+	encOptions := cbor.CoreDetEncOptions()
+	encOptions.TextMarshaler = cbor.TextMarshalerTextString
+	encOptions.Time = cbor.TimeRFC3339Nano
+	enc, err := encOptions.EncMode()
+	if err != nil {
+		return codec{}, fmt.Errorf("cbor encoder: %w", err)
+	}
+	dec, err := cbor.DecOptions{
+		TextUnmarshaler:  cbor.TextUnmarshalerTextString,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	}.DecMode()
+	if err != nil {
+		return codec{}, fmt.Errorf("cbor decoder: %w", err)
+	}
+	return codec{enc: enc, dec: dec}, nil
+}
+
+const maxElements = 1 << 18
+
+// Name implements encoding.Codec.
+func (codec) Name() string { return CodecName }
+
+// Marshal implements encoding.Codec.
+func (c codec) Marshal(v any) ([]byte, error) {
+	data, err := c.enc.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return data, nil
+}
+
+// Unmarshal implements encoding.Codec.
+func (c codec) Unmarshal(data []byte, v any) error {
+	if err := c.dec.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
+
+func init() {
+	c, err := newCodec()
+	if err != nil {
+		panic(err)
+	}
+	encoding.RegisterCodec(c)
+}
--- /dev/null
+++ b/peer/method.go
@@ -0,0 +1,38 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+)
+
+// Unary describes a method of a service whose messages are tagged domain types.
+func Unary[Server, Request, Response any](
+	service, name string, handle func(Server, context.Context, *Request) (*Response, error),
+) grpc.MethodDesc {
+	call := func(server any, ctx context.Context, decode func(any) error, intercept grpc.UnaryServerInterceptor) (any, error) {
+		request := new(Request)
+		if err := decode(request); err != nil {
+			return nil, err
+		}
+		handler := func(ctx context.Context, r any) (any, error) { return handle(server.(Server), ctx, r.(*Request)) }
+		if intercept == nil {
+			return handler(ctx, request)
+		}
+		info := &grpc.UnaryServerInfo{Server: server, FullMethod: "/" + service + "/" + name}
+		return intercept(ctx, request, info, handler)
+	}
+	return grpc.MethodDesc{MethodName: name, Handler: call}
+}
+
+// Call invokes a method described by Unary.
+func Call[Response, Request any](
+	ctx context.Context, conn grpc.ClientConnInterface, service, name string, request *Request, options ...grpc.CallOption,
+) (*Response, error) {
+	response := new(Response)
+	options = append(options, grpc.CallContentSubtype(CodecName))
+	if err := conn.Invoke(ctx, "/"+service+"/"+name, request, response, options...); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,49 @@
+package eelgrassbeam
+
+import (
+	"context"
+	"time"
+)
+
+// Object is one versioned value of the platform's object API.
+type Object struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Version rises with each change of any object of the platform.
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// ObjectEvent is one change that a watch reports.
+type ObjectEvent struct {
+	Object  Object `json:"object"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// ObjectList is the state of one kind at a revision.
+type ObjectList struct {
+	Revision uint64   `json:"revision"`
+	Objects  []Object `json:"objects"`
+}
+
+// ObjectEvents are changes after a revision, up to and including Revision.
+type ObjectEvents struct {
+	Revision uint64        `json:"revision"`
+	Events   []ObjectEvent `json:"events"`
+}
+
+// Store is the platform's object API. Errors wrap ErrNotFound, ErrConflict, ErrCompacted or ErrUnavailable;
+// after ErrUnavailable a write may have taken effect.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (Object, error)
+	List(ctx context.Context, kind string) (ObjectList, error)
+	Create(ctx context.Context, kind, name string, value []byte) (Object, error)
+	// Update replaces the value if the object's version is still the given one.
+	Update(ctx context.Context, object Object) (Object, error)
+	// Delete removes the object if its version is still the given one.
+	Delete(ctx context.Context, kind, name string, version uint64) error
+	// Watch waits at most wait for changes of the kind after the revision; no events is not an error.
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (ObjectEvents, error)
+	// Instances returns the lagging list of instances.
+	Instances(ctx context.Context) (InstanceList, error)
+}
