Name each attempt of a request

Cause: two callers may choose the same request id, so a receiver that records by it would take one request for the other. Ruled out: changing the caller's id on the way, because the backend server and the caller both see it. Before: one id. After: receivers record the attempt id. Conclusion: a repeat and a second caller no longer meet in the record.

--- a/request.go
+++ b/request.go
@@ -16,6 +16,10 @@
 	IdempotencyKey IdempotencyKey `json:"idempotency_key,omitempty"`
 	// Attempt counts from 1.
 	Attempt int `json:"attempt"`
+	// AttemptID names this attempt alone; receivers record it.
+	AttemptID RequestID `json:"attempt_id"`
+	// Incarnation is the receiver's, as the sender knows it.
+	Incarnation uint64 `json:"incarnation,omitempty"`
 	// TimeLeft is the time to the deadline as the sender saw it when sending.
 	TimeLeft Duration `json:"time_left"`
 	// Origin is the entry that the caller sent the request to.
@@ -33,8 +37,14 @@
 }
 
 // WithAttempt returns a copy for another attempt.
-func (r Request) WithAttempt(attempt int) Request {
-	r.Attempt = attempt
+func (r Request) WithAttempt(attempt int, id RequestID) Request {
+	r.Attempt, r.AttemptID = attempt, id
+	return r
+}
+
+// WithIncarnation returns a copy for the receiver's incarnation.
+func (r Request) WithIncarnation(incarnation uint64) Request {
+	r.Incarnation = incarnation
 	return r
 }
 
@@ -59,6 +69,8 @@
 		return fmt.Errorf("%w: request %s has no service", ErrInvalid, r.ID)
 	case r.Method == "":
 		return fmt.Errorf("%w: request %s has no method", ErrInvalid, r.ID)
+	case r.AttemptID == "":
+		return fmt.Errorf("%w: request %s has no attempt id", ErrInvalid, r.ID)
 	case r.Attempt < 1:
 		return fmt.Errorf("%w: request %s has attempt %d: want 1 or more", ErrInvalid, r.ID, r.Attempt)
 	default:
