Close silent connections between entries

Cause: gRPC's keepalive waits at least 10 s, so calls on a connection that has gone silent would hang past their deadlines. Ruled out: a timeout for each call, because a request may wait in a queue for longer than a healthy link is silent. Before: no detection below 12 s. After: a connection with calls in progress is pinged on its own and closed when the ping fails.

--- /dev/null
+++ b/peer/guard.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+)
+
+const (
+	pingInterval = 500 * time.Millisecond
+	pingTimeout  = time.Second
+	pingService  = "eelgrassbeam.peer"
+	pingMethod   = "Ping"
+)
+
+// Ping is an empty message that proves a connection alive.
+type Ping struct{}
+
+// guarded is a connection with its calls in progress.
+type guarded struct {
+	conn    *grpc.ClientConn
+	calls   atomic.Int64
+	pinging atomic.Bool
+}
+
+func (g *guarded) count(
+	ctx context.Context, method string, request, reply any, conn *grpc.ClientConn,
+	invoke grpc.UnaryInvoker, options ...grpc.CallOption,
+) error {
+	g.calls.Add(1)
+	defer g.calls.Add(-1)
+	return invoke(ctx, method, request, reply, conn, options...)
+}
+
+// RegisterPing lets peers prove their connections to this server alive.
+func RegisterPing(server grpc.ServiceRegistrar) {
+	answer := func(_ any, _ context.Context, p *Ping) (*Ping, error) { return p, nil }
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: pingService,
+		HandlerType: (*any)(nil),
+		Methods:     []grpc.MethodDesc{Unary(pingService, pingMethod, answer)},
+	}, struct{}{})
+}
+
+// Run pings each connection that has calls in progress, and closes one that is silent, until the context ends.
+func (p *Pool) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-p.config.Clock.After(pingInterval):
+			}
+			for address, g := range p.busy() {
+				group.Go(func() error {
+					p.ping(ctx, address, g)
+					return nil
+				})
+			}
+		}
+	})
+	return group.Wait()
+}
+
+func (p *Pool) busy() map[netip.AddrPort]*guarded {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	busy := make(map[netip.AddrPort]*guarded)
+	for address, g := range p.conns {
+		if g.calls.Load() > 0 && g.pinging.CompareAndSwap(false, true) {
+			busy[address] = g
+		}
+	}
+	return busy
+}
+
+func (p *Pool) ping(ctx context.Context, address netip.AddrPort, g *guarded) {
+	defer g.pinging.Store(false)
+	call, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	_, err := Call[Ping](call, g.conn, pingService, pingMethod, &Ping{})
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	p.config.Log.WithFields(logrus.Fields{"event": "peer_silent", "peer": address, "error": err}).Warn("")
+	p.Evict(address, g.conn)
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -7,15 +7,18 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
 const (
-	// KeepaliveTime is how long a connection is idle before it is probed.
-	KeepaliveTime = 2 * time.Second
+	// KeepaliveTime is how long a connection is idle before it is probed; the library takes no less.
+	KeepaliveTime = 10 * time.Second
 	// KeepaliveTimeout is how long a probe waits before the connection is closed.
 	KeepaliveTimeout = 2 * time.Second
 	// MaxMessageBytes bounds one message.
@@ -27,6 +30,8 @@
 
 // PoolConfig configures a Pool.
 type PoolConfig struct {
+	Clock eelgrassbeam.Clock
+	Log   logrus.FieldLogger
 	// Credentials secure the connections; nil for plain text.
 	Credentials credentials.TransportCredentials
 }
@@ -35,7 +40,7 @@
 type Pool struct {
 	config PoolConfig
 	mu     sync.Mutex
-	conns  map[netip.AddrPort]*grpc.ClientConn
+	conns  map[netip.AddrPort]*guarded
 }
 
 // NewPool returns an empty pool.
@@ -43,21 +48,23 @@
 	if config.Credentials == nil {
 		config.Credentials = insecure.NewCredentials()
 	}
-	return &Pool{config: config, conns: make(map[netip.AddrPort]*grpc.ClientConn)}
+	return &Pool{config: config, conns: make(map[netip.AddrPort]*guarded)}
 }
 
 // Conn returns the connection to the address; it connects on first use.
 func (p *Pool) Conn(address netip.AddrPort) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn, ok := p.conns[address]; ok {
-		return conn, nil
+	if g, ok := p.conns[address]; ok {
+		return g.conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address.String(), p.options()...)
+	g := &guarded{}
+	conn, err := grpc.NewClient("passthrough:///"+address.String(), p.options(g)...)
 	if err != nil {
 		return nil, fmt.Errorf("connect to peer %s: %w", address, err)
 	}
-	p.conns[address] = conn
+	g.conn = conn
+	p.conns[address] = g
 	return conn, nil
 }
 
@@ -65,7 +72,7 @@
 func (p *Pool) Evict(address netip.AddrPort, conn *grpc.ClientConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conns[address] != conn {
+	if g, ok := p.conns[address]; !ok || g.conn != conn {
 		return
 	}
 	delete(p.conns, address)
@@ -76,10 +83,10 @@
 func (p *Pool) Keep(addresses map[netip.AddrPort]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, conn := range p.conns {
+	for address, g := range p.conns {
 		if !addresses[address] {
 			delete(p.conns, address)
-			_ = conn.Close()
+			_ = g.conn.Close()
 		}
 	}
 }
@@ -87,7 +94,7 @@
 // Close closes all connections.
 func (p *Pool) Close() { p.Keep(nil) }
 
-func (p *Pool) options() []grpc.DialOption {
+func (p *Pool) options(g *guarded) []grpc.DialOption {
 	connect := grpc.ConnectParams{MinConnectTimeout: connectTimeout}
 	connect.Backoff.BaseDelay = 50 * time.Millisecond
 	connect.Backoff.Multiplier = 1.6
@@ -102,6 +109,7 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithNoProxy(),
+		grpc.WithUnaryInterceptor(g.count),
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 	}
