--- /dev/null
+++ b/storefake/store.go
@@ -0,0 +1,121 @@
+// Package storefake keeps the platform's objects in memory, for tests.
+package storefake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+type (
+	// Object is the platform's object.
+	Object = eelgrassbeam.Object
+	key    struct{ kind, name string }
+)
+
+// Store implements eelgrassbeam.Store. Its fields are set under Set.
+type Store struct {
+	// Lose tells, by operation, whether the answer is lost after the call took effect.
+	Lose func(operation string) bool
+	// Down makes all calls fail without effect.
+	Down bool
+	// Rows is the instance list.
+	Rows []eelgrassbeam.Instance
+	// Calls counts the calls by operation.
+	Calls map[string]int
+
+	mu       sync.Mutex
+	revision uint64
+	objects  map[key]Object
+	events   []eelgrassbeam.ObjectEvent
+	changed  chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{objects: map[key]Object{}, changed: make(chan struct{}), Calls: map[string]int{}}
+}
+
+// Set runs the function under the store's lock.
+func (s *Store) Set(change func(s *Store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// Get implements eelgrassbeam.Store.
+func (s *Store) Get(_ context.Context, kind, name string) (found Object, err error) {
+	return s.do("get", kind, name, func(current Object, ok bool) (Object, error) { return current, missing(ok) })
+}
+
+// Create implements eelgrassbeam.Store.
+func (s *Store) Create(_ context.Context, kind, name string, value []byte) (Object, error) {
+	return s.do("create", kind, name, func(current Object, ok bool) (Object, error) {
+		if ok {
+			return current, &eelgrassbeam.VersionConflictError{Current: current}
+		}
+		return s.put(Object{Kind: kind, Name: name, Value: value}, false), nil
+	})
+}
+
+// Update implements eelgrassbeam.Store.
+func (s *Store) Update(_ context.Context, next Object) (Object, error) {
+	return s.replace("update", next, false)
+}
+
+// Delete implements eelgrassbeam.Store.
+func (s *Store) Delete(_ context.Context, kind, name string, version uint64) error {
+	_, err := s.replace("delete", Object{Kind: kind, Name: name, Version: version}, true)
+	return err
+}
+
+// List implements eelgrassbeam.Store.
+func (s *Store) List(_ context.Context, kind string) (list eelgrassbeam.ObjectList, err error) {
+	_, err = s.do("list", kind, "", func(Object, bool) (Object, error) {
+		list.Revision = s.revision
+		for key, found := range s.objects {
+			if key.kind == kind {
+				list.Objects = append(list.Objects, found)
+			}
+		}
+		return Object{}, nil
+	})
+	return list, err
+}
+
+// Instances implements eelgrassbeam.Store.
+func (s *Store) Instances(context.Context) (list eelgrassbeam.InstanceList, err error) {
+	_, err = s.do("instances", "", "", func(Object, bool) (Object, error) {
+		list = eelgrassbeam.InstanceList{Revision: s.revision, Instances: s.Rows}
+		return Object{}, nil
+	})
+	return list, err
+}
+
+// Watch implements eelgrassbeam.Store.
+func (s *Store) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (found eelgrassbeam.ObjectEvents, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for operation := "watch"; ; operation = "wake" {
+		var changed chan struct{}
+		_, err = s.do(operation, kind, "", func(Object, bool) (Object, error) {
+			found.Revision, changed = s.revision, s.changed
+			for _, event := range s.events {
+				if event.Object.Kind == kind && event.Object.Version > after {
+					found.Events = append(found.Events, event)
+				}
+			}
+			return Object{}, nil
+		})
+		if err != nil || len(found.Events) > 0 {
+			return found, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return found, nil
+		}
+	}
+}
