--- a/configuration.go
+++ b/configuration.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -24,8 +25,13 @@
 	Change     Change      `json:"change"`
 	Defaults   Defaults    `json:"defaults"`
 	Exceptions []Exception `json:"exceptions"`
+	// RecentChanges are the changes before Change, newest first and without notes, at most MaxRecentChanges.
+	RecentChanges []Change `json:"recent_changes,omitempty"`
 }
 
+// MaxRecentChanges bounds Configuration.RecentChanges.
+const MaxRecentChanges = 64
+
 // ConfigurationSource returns the configuration in force; false before there is one.
 type ConfigurationSource interface {
 	Configuration() (*Configuration, bool)
@@ -55,9 +61,23 @@
 	return c
 }
 
+// WithRecentChanges returns a copy with other recent changes.
+func (c Configuration) WithRecentChanges(changes []Change) Configuration {
+	c.RecentChanges = changes
+	return c
+}
+
+// Includes tells whether the change made this version or one of those before it that are still listed.
+func (c Configuration) Includes(id ChangeID) bool {
+	return c.Change.ID == id || slices.ContainsFunc(c.RecentChanges, func(change Change) bool { return change.ID == id })
+}
+
 // Validate checks the whole set, across defaults and exceptions.
 func (c Configuration) Validate() error {
 	faults := []error{c.Defaults.Validate()}
+	if len(c.RecentChanges) > MaxRecentChanges {
+		faults = append(faults, fmt.Errorf("%w: %d recent changes: want at most %d", ErrInvalid, len(c.RecentChanges), MaxRecentChanges))
+	}
 	seen := make(map[string]bool, len(c.Exceptions))
 	for _, exception := range c.Exceptions {
 		faults = append(faults, exception.Validate())
--- /dev/null
+++ b/holder/holder_test.go
@@ -0,0 +1,117 @@
+package holder
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func newHolder() *Holder {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Config{Clock: clockwork.NewFakeClock(), Log: log})
+}
+
+func configuration(version uint64) eelgrassbeam.Configuration {
+	return eelgrassbeam.Configuration{
+		Version: version, Change: eelgrassbeam.Change{ID: eelgrassbeam.ChangeID(fmt.Sprint("c", version))},
+		Defaults: eelgrassbeam.Defaults{
+			LookupTTL: eelgrassbeam.Seconds(5), LookupEntries: 3, BodyLimitBytes: 1024,
+			ProgressTimeout: eelgrassbeam.Seconds(1), IdempotencyWindow: eelgrassbeam.Seconds(60),
+			Services: []eelgrassbeam.Service{{
+				Name: "booking", Hosts: []string{"booking"}, SlotsPerUpstream: 1, ConnectionsPerUpstream: 1,
+				Routes: []eelgrassbeam.Route{{Method: "*", PathPrefix: "/", Rank: eelgrassbeam.RankStandard}},
+			}},
+		},
+	}
+}
+
+func checkVersion(t *testing.T, h *Holder, want uint64) {
+	t.Helper()
+	got, _ := h.InForce()
+	is.New(t).Equal(got, want)
+}
+
+// falls offers versions in a random order and returns the first fall of the version in force.
+func falls(t *rapid.T, acceptsLower bool) error {
+	h := newHolder()
+	h.acceptsLower = acceptsLower
+	highest := uint64(0)
+	seen := uint64(0)
+	h.Subscribe(func(c *eelgrassbeam.Configuration) { seen = c.Version })
+	for _, version := range rapid.SliceOfN(rapid.Uint64Range(1, 20), 1, 40).Draw(t, "versions") {
+		_ = h.Offer(configuration(version), SourcePeer)
+		highest = max(highest, version)
+		if now, _ := h.InForce(); now != highest || seen != highest {
+			return fmt.Errorf("version %d is in force after %d", now, highest)
+		}
+	}
+	return nil
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	t.Run("guard on", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			if err := falls(t, false); err != nil {
+				t.Fatal(err)
+			}
+		})
+	})
+	t.Run("guard off falls", func(t *testing.T) {
+		var seen error
+		rapid.Check(t, func(t *rapid.T) { seen = errors.Join(seen, falls(t, true)) })
+		is.New(t).True(seen != nil)
+	})
+}
+
+func TestOffer(t *testing.T) {
+	t.Run("a lower version is refused", func(t *testing.T) {
+		h := newHolder()
+		is.New(t).NoErr(h.Offer(configuration(5), SourcePlatform))
+		is.New(t).True(errors.Is(h.Offer(configuration(4), SourcePeer), ErrStale))
+		checkVersion(t, h, 5)
+	})
+	t.Run("another content of the version is refused", func(t *testing.T) {
+		h := newHolder()
+		is.New(t).NoErr(h.Offer(configuration(5), SourcePlatform))
+		other := configuration(5).WithChange(eelgrassbeam.Change{ID: "other"})
+		is.New(t).True(errors.Is(h.Offer(other, SourcePeer), ErrDivergent))
+	})
+	t.Run("an invalid set changes nothing", func(t *testing.T) {
+		h := newHolder()
+		is.New(t).NoErr(h.Offer(configuration(5), SourcePlatform))
+		bad := configuration(6).WithExceptions([]eelgrassbeam.Exception{{ID: "x"}})
+		is.New(t).True(errors.Is(h.Offer(bad, SourcePlatform), eelgrassbeam.ErrInvalid))
+		checkVersion(t, h, 5)
+	})
+	t.Run("await returns with the version", func(t *testing.T) {
+		h := newHolder()
+		done := make(chan error, 1)
+		go func() { done <- h.Await(t.Context(), 2) }()
+		is.New(t).NoErr(h.Offer(configuration(2), SourcePlatform))
+		select {
+		case err := <-done:
+			is.New(t).NoErr(err)
+		case <-time.After(5 * time.Second):
+			t.Fatal("await does not return")
+		}
+	})
+}
