Add stand-ins for the platform and backend servers

Tests and demonstrations need the platform's object API, its lagging instance list and backend servers without either of them. Each stand-in is an http.Handler over memory with faults that a test sets, and one command serves either of them as a process. Work and waiting follow the clock that is passed in, so tests need no sleep.

--- /dev/null
+++ b/cmd/eelgrassbeam-standin/backend.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"flag"
+	"net/http"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/eelgrassbeam/eelgrassbeam/standin"
+)
+
+var backendCommand = command{
+	name:  "backend",
+	short: "Serve as one upstream that echoes requests and counts its runs.",
+	build: func(flags *flag.FlagSet) func() *http.Server {
+		config := standin.BackendConfig{Clock: clockwork.NewRealClock()}
+		flags.Func("id", "`id` of the upstream", func(text string) error { return config.ID.UnmarshalText([]byte(text)) })
+		flags.Func("service", "`name` of the service", func(text string) error { return config.Service.UnmarshalText([]byte(text)) })
+		flags.IntVar(&config.Slots, "slots", 3, "requests in progress at once")
+		flags.IntVar(&config.ConnectionLimit, "connections", 360, "open connections at once; more are closed")
+		flags.DurationVar(&config.ConnectionCost, "connection-cost", 0, "time that a new connection holds a slot")
+		flags.DurationVar(&config.ProbeCost, "probe-cost", 0, "time that a probe holds a slot")
+		flags.DurationVar(&config.ServiceTime, "service-time", 0, "mean time of a request")
+		flags.DurationVar(&config.ColdStart, "cold-start", 0, "time from the start during which work costs more")
+		flags.Float64Var(&config.ColdFactor, "cold-factor", 4, "cost of cold work in terms of warm work")
+		flags.DurationVar(&config.Lag, "lag", 0, "greatest age of a load report")
+		flags.IntVar(&config.QueueLimit, "queue-limit", 0, "waiting requests at once, 0 for as many as slots")
+		flags.DurationVar(&config.QueueWait, "queue-wait", 0, "longest wait for a slot, 0 for the default")
+		flags.Uint64Var(&config.Seed, "seed", 1, "seed of the service times")
+		return func() *http.Server { return standin.NewBackend(config).Server() }
+	},
+}
--- /dev/null
+++ b/cmd/eelgrassbeam-standin/serve.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+)
+
+// stopTimeout bounds a graceful shutdown.
+const stopTimeout = 10 * time.Second
+
+// serve serves until the context ends and then stops gracefully.
+func serve(ctx context.Context, address string, server *http.Server, log logrus.FieldLogger) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	log.WithFields(logrus.Fields{"event": "listening", "address": listener.Addr().String()}).Info("")
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		return server.Shutdown(stopping)
+	})
+	err = group.Wait()
+	log.WithField("event", "stopped").Info("")
+	return err
+}
--- /dev/null
+++ b/standin/object_handlers.go
@@ -0,0 +1,192 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+const (
+	// maxValueBytes bounds an object's value.
+	maxValueBytes = 1 << 20
+	// maxObjectBodyBytes bounds a body: base64 makes four bytes of three.
+	maxObjectBodyBytes = maxValueBytes/3*4 + 64<<10
+)
+
+// counter picks the count of one kind of call.
+type counter func(*PlatformCounts) *int
+
+func (p *Platform) routeObjects() {
+	p.route("GET /v1/objects/{kind}/{name...}", p.get, func(c *PlatformCounts) *int { return &c.Get })
+	p.route("GET /v1/objects/{kind}", p.list, func(c *PlatformCounts) *int { return &c.List })
+	p.route("POST /v1/objects/{kind}/{name...}", p.create, func(c *PlatformCounts) *int { return &c.Create })
+	p.route("PUT /v1/objects/{kind}/{name...}", p.update, func(c *PlatformCounts) *int { return &c.Update })
+	p.route("DELETE /v1/objects/{kind}/{name...}", p.delete, func(c *PlatformCounts) *int { return &c.Delete })
+	p.route("GET /v1/watch/{kind}", p.watch, func(c *PlatformCounts) *int { return &c.Watch })
+	p.route("GET /v1/instances", p.listInstances, func(c *PlatformCounts) *int { return &c.Instances })
+}
+
+// route serves the pattern with counting and the faults that hold for all calls.
+func (p *Platform) route(pattern string, handle http.HandlerFunc, count counter) {
+	p.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		p.count(count)
+		if !p.delay(r) || p.currentFaults().Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		handle(w, r)
+	})
+}
+
+func (p *Platform) count(count counter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*count(&p.counts)++
+	p.counts.Total++
+}
+
+// delay waits as long as the faults ask; false if the call ended meanwhile.
+func (p *Platform) delay(r *http.Request) bool {
+	slow := p.currentFaults().Slow.Duration
+	if slow <= 0 {
+		return true
+	}
+	select {
+	case <-p.clock.After(slow):
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-p.stop:
+		return false
+	}
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	object, err := p.objects.get(keyOf(r))
+	p.mu.Unlock()
+	writeObject(w, http.StatusOK, object, err)
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	list := p.objects.list(r.PathValue("kind"))
+	p.mu.Unlock()
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (p *Platform) create(w http.ResponseWriter, r *http.Request) {
+	body, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	object, err := p.write(func() (eelgrassbeam.Object, error) {
+		return p.objects.create(keyOf(r), body.Value)
+	})
+	writeObject(w, http.StatusCreated, object, err)
+}
+
+func (p *Platform) update(w http.ResponseWriter, r *http.Request) {
+	body, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	object, err := p.write(func() (eelgrassbeam.Object, error) {
+		return p.objects.update(keyOf(r), body.Version, body.Value)
+	})
+	writeObject(w, http.StatusOK, object, err)
+}
+
+func (p *Platform) delete(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version: want a number", http.StatusBadRequest)
+		return
+	}
+	object, err := p.write(func() (eelgrassbeam.Object, error) {
+		return p.objects.delete(keyOf(r), version)
+	})
+	if err == nil {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	writeObject(w, http.StatusOK, object, err)
+}
+
+// write runs one write under the lock; a lost answer aborts the connection.
+func (p *Platform) write(change func() (eelgrassbeam.Object, error)) (eelgrassbeam.Object, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	object, err := change()
+	if err == nil {
+		p.wake()
+	}
+	if p.faults.LoseAnswers > 0 {
+		p.faults.LoseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	return object, err
+}
+
+func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	list := p.instances.visible(p.clock.Now())
+	p.mu.Unlock()
+	writeJSON(w, http.StatusOK, list)
+}
+
+func keyOf(r *http.Request) objectKey {
+	return objectKey{kind: r.PathValue("kind"), name: r.PathValue("name")}
+}
+
+func readObject(w http.ResponseWriter, r *http.Request) (eelgrassbeam.Object, bool) {
+	var object eelgrassbeam.Object
+	if !readJSON(w, r, maxObjectBodyBytes, &object) {
+		return object, false
+	}
+	if r.PathValue("name") == "" {
+		http.Error(w, "object has no name", http.StatusBadRequest)
+		return object, false
+	}
+	if len(object.Value) > maxValueBytes {
+		http.Error(w, "value exceeds 1 MiB", http.StatusRequestEntityTooLarge)
+		return object, false
+	}
+	return object, true
+}
+
+func writeObject(w http.ResponseWriter, status int, object eelgrassbeam.Object, err error) {
+	switch {
+	case errors.Is(err, errNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, errConflict):
+		writeJSON(w, http.StatusConflict, object)
+	default:
+		writeJSON(w, status, object)
+	}
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, limit int64, target any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit)).Decode(target)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return false
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	default:
+		return true
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The client sees a failed write as a cut answer.
+	_ = json.NewEncoder(w).Encode(value)
+}
