Add the goa services, the operators' interface and the decision log

Entries need an interface for callers' look-ups and one for operators, and a log of their decisions that can be asked afterwards.

Configuration documents travel as raw JSON, so that the domain types check themselves and a refusal lists all faults; goa's own body types were ruled out for them, since they stop at the first fault.

--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,119 @@
+// Package logger logs decisions and keeps the recent ones.
+package logger
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+const (
+	defaultSize = 4096
+	// maxLogFields is the number of keys of one line at most.
+	maxLogFields = MaxFields + 8
+)
+
+// Config configures a Logger.
+type Config struct {
+	// Log receives one line a decision; nil keeps decisions without logging them.
+	Log logrus.FieldLogger
+	// Size is the number of recent decisions kept; 4096 where zero.
+	Size int
+	// Sample logs one in so many decisions; 0 and 1 log each. All are kept in the ring.
+	Sample int
+	Clock  eelgrassbeam.Clock
+}
+
+// Logger logs decisions and keeps the recent ones in a ring. A nil Logger drops them.
+type Logger struct {
+	config  Config
+	counter atomic.Uint64
+
+	mu   sync.Mutex
+	ring []Decision
+	// next counts all decisions recorded; the ring's slot is next modulo its length.
+	next uint64
+}
+
+// New returns a Logger.
+func New(config Config) *Logger {
+	if config.Size <= 0 {
+		config.Size = defaultSize
+	}
+	return &Logger{config: config, ring: make([]Decision, config.Size)}
+}
+
+// Record keeps the decision and logs it if the sample takes it.
+func (l *Logger) Record(decision Decision) {
+	if l == nil {
+		return
+	}
+	if decision.At.IsZero() {
+		decision.At = l.config.Clock.Now()
+	}
+	l.keep(&decision)
+	if l.config.Log != nil && l.isSampled() {
+		l.log(&decision)
+	}
+}
+
+// Recent returns the decisions that the filter selects, newest first.
+func (l *Logger) Recent(filter Filter) []Decision {
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	size := uint64(len(l.ring))
+	kept := min(l.next, size)
+	var found []Decision
+	for back := uint64(1); back <= kept; back++ {
+		decision := &l.ring[(l.next-back)%size]
+		if filter.Limit > 0 && len(found) == filter.Limit {
+			break
+		}
+		if filter.selects(decision) {
+			found = append(found, *decision)
+		}
+	}
+	return found
+}
+
+func (l *Logger) keep(decision *Decision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ring[l.next%uint64(len(l.ring))] = *decision
+	l.next++
+}
+
+func (l *Logger) isSampled() bool {
+	if l.config.Sample <= 1 {
+		return true
+	}
+	return l.counter.Add(1)%uint64(l.config.Sample) == 1
+}
+
+func (l *Logger) log(decision *Decision) {
+	fields := make(logrus.Fields, maxLogFields)
+	fields["event"] = "decision"
+	fields["kind"] = string(decision.Kind)
+	fields["configuration_version"] = decision.Versions.Configuration
+	fields["fleet_revision"] = decision.Versions.Fleet
+	fields["choice"] = decision.Choice
+	fields["reason"] = decision.Reason
+	if decision.Request != "" {
+		fields["request_id"] = string(decision.Request)
+	}
+	if decision.Versions.Load != 0 {
+		fields["load_revision"] = decision.Versions.Load
+	}
+	for i := range decision.Fields {
+		if field := &decision.Fields[i]; field.key != "" {
+			fields[field.key] = field.Value()
+		}
+	}
+	l.config.Log.WithFields(fields).Info("")
+}
--- /dev/null
+++ b/operator/service.go
@@ -0,0 +1,151 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	genoperator "github.com/eelgrassbeam/eelgrassbeam/gen/operator"
+	"github.com/eelgrassbeam/eelgrassbeam/logger"
+)
+
+var errNoConfiguration = errors.New("this entry has no configuration yet")
+
+// service implements the generated service over the backend.
+type service struct {
+	config Config
+}
+
+var _ genoperator.Service = (*service)(nil)
+
+// GetConfiguration returns the configuration in force at this entry.
+func (s *service) GetConfiguration(context.Context) (*genoperator.GetConfigurationResult, error) {
+	configuration, ok := s.config.Backend.Configuration()
+	if !ok {
+		return nil, genoperator.MakeNotReady(errNoConfiguration)
+	}
+	document, err := json.Marshal(configuration)
+	return &genoperator.GetConfigurationResult{Document: document}, err
+}
+
+// ApplyConfiguration checks and stores the whole configuration.
+func (s *service) ApplyConfiguration(
+	ctx context.Context, payload *genoperator.ApplyConfigurationPayload,
+) (*genoperator.ApplyConfigurationResult, error) {
+	made, err := s.change(payload.ChangeID, payload.Author, payload.Note)
+	if err != nil {
+		return nil, wireError(err, made.ID)
+	}
+	configuration, err := DecodeDocument(payload.Configuration)
+	if err != nil {
+		return nil, wireError(err, made.ID)
+	}
+	change := Change{
+		Expected:      payload.ExpectedVersion,
+		Configuration: configuration.WithVersion(0).WithChange(made),
+		DryRun:        payload.DryRun,
+	}
+	stored, err := s.apply(ctx, change)
+	if err != nil {
+		return nil, wireError(err, made.ID)
+	}
+	document, err := json.Marshal(stored)
+	return &genoperator.ApplyConfigurationResult{Document: document}, err
+}
+
+// Status returns the fleet's status.
+func (s *service) Status(ctx context.Context) (*genoperator.StatusResult, error) {
+	status, err := s.config.Backend.Status(ctx)
+	if err != nil {
+		return nil, wireError(err, "")
+	}
+	document, err := json.Marshal(status)
+	return &genoperator.StatusResult{Document: document}, err
+}
+
+// Decisions returns recent decisions, newest first.
+func (s *service) Decisions(
+	_ context.Context, payload *genoperator.DecisionsPayload,
+) (*genoperator.DecisionsResult, error) {
+	decisions := s.config.Backend.Decisions(logger.Filter{
+		Kind:    logger.Kind(valueOf(payload.Kind)),
+		Request: eelgrassbeam.RequestID(valueOf(payload.Request)),
+		Limit:   payload.Limit,
+	})
+	if decisions == nil {
+		decisions = []logger.Decision{}
+	}
+	document, err := json.Marshal(decisions)
+	return &genoperator.DecisionsResult{Document: document}, err
+}
+
+// change returns who makes a change, when and under which id.
+func (s *service) change(id, author string, note *string) (eelgrassbeam.Change, error) {
+	made := eelgrassbeam.Change{Author: strings.TrimSpace(author), At: s.config.Clock.Now().UTC(), Note: valueOf(note)}
+	if err := made.ID.UnmarshalText([]byte(id)); err != nil {
+		return made, err
+	}
+	if made.Author == "" {
+		return made, fmt.Errorf("%w: author is empty", eelgrassbeam.ErrInvalid)
+	}
+	return made, nil
+}
+
+// apply stores the change and logs what became of it.
+func (s *service) apply(ctx context.Context, change Change) (*eelgrassbeam.Configuration, error) {
+	stored, err := s.config.Backend.Apply(ctx, change)
+	if err != nil {
+		s.logChange(change, 0, err)
+		return nil, err
+	}
+	s.logChange(change, stored.Version, nil)
+	return stored, nil
+}
+
+func (s *service) logChange(change Change, version uint64, err error) {
+	made := change.Configuration.Change
+	line := s.config.Log.WithFields(logrus.Fields{
+		"event": "change", "change_id": string(made.ID), "author": made.Author,
+		"expected_version": change.Expected, "version": version, "dry_run": change.DryRun,
+	})
+	if err != nil {
+		line.WithError(err).Warn("")
+		return
+	}
+	line.Info("")
+}
+
+// wireError turns the backend's errors into the generated ones.
+func wireError(err error, id eelgrassbeam.ChangeID) error {
+	var conflict *ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return &genoperator.ConflictError{
+			Message:  conflict.Error(),
+			Version:  conflict.Stored.Version,
+			ChangeID: string(conflict.Stored.Change.ID),
+			Author:   conflict.Stored.Change.Author,
+			At:       conflict.Stored.Change.At.UTC().Format(timeFormat),
+			Note:     &conflict.Stored.Change.Note,
+		}
+	case errors.Is(err, eelgrassbeam.ErrInvalid):
+		return &genoperator.InvalidError{Message: "the change is refused; nothing is stored", Faults: Faults(err)}
+	case errors.Is(err, eelgrassbeam.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		text := string(id)
+		return &genoperator.UnavailableError{Message: err.Error(), ChangeID: &text}
+	default:
+		return err
+	}
+}
+
+func valueOf(text *string) string {
+	if text == nil {
+		return ""
+	}
+	return *text
+}
