--- a/cmd/eelgrassbeam-standin/backend.go
+++ b/cmd/eelgrassbeam-standin/backend.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"net/http"
+	"os"
 
 	"github.com/jonboulle/clockwork"
 
@@ -27,6 +28,11 @@
 		flags.IntVar(&config.QueueLimit, "queue-limit", 0, "waiting requests at once, 0 for as many as slots")
 		flags.DurationVar(&config.QueueWait, "queue-wait", 0, "longest wait for a slot, 0 for the default")
 		flags.Uint64Var(&config.Seed, "seed", 1, "seed of the service times")
+		flags.Func("journal", "`file` that gets one line a run", func(name string) error {
+			file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+			config.Journal = file
+			return err
+		})
 		return func() *http.Server { return standin.NewBackend(config).Server() }
 	},
 }
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -41,6 +42,8 @@
 	QueueLimit int
 	// QueueWait bounds the wait for a slot, 0 for 50 ms.
 	QueueWait time.Duration
+	// Journal gets one line a run, with the request's id and its idempotency key, nil for none.
+	Journal io.Writer
 	// Seed seeds the service times.
 	Seed  uint64
 	Clock eelgrassbeam.Clock
@@ -96,7 +99,7 @@
 		born:            config.Clock.Now(),
 		mux:             http.NewServeMux(),
 		slots:           newSlots(config.Clock, config.Slots, config.QueueLimit, config.QueueWait),
-		ledger:          newLedger(),
+		ledger:          newLedger(config.Journal),
 		stop:            make(chan struct{}),
 		random:          rand.New(rand.NewPCG(config.Seed, config.Seed)),
 	}
--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -35,7 +36,8 @@
 
 func TestEcho(t *testing.T) {
 	is := is.New(t)
-	backend, c := newBackend(t, standin.BackendConfig{})
+	var journal bytes.Buffer
+	backend, c := newBackend(t, standin.BackendConfig{Journal: &journal})
 	answer := c.call("GET", "/tables?day=1", nil, nil, standin.HeaderRequestID, "r1")
 	is.Equal(answer.status, http.StatusOK)
 	is.Equal(string(answer.body), "GET /tables?day=1\n")
@@ -49,6 +51,7 @@
 	is.Equal(counts.Executions, map[string]int{"r1": 1, "r2": 2})
 	is.Equal(counts.Keys, map[string]int{"k": 1})
 	is.Equal(counts.Total, 3)
+	is.Equal(journal.String(), "r1\t\nr2\tk\nr2\t\n")
 	large, err := c.do(t.Context(), "POST", "/", make([]byte, 2<<20+1))
 	is.NoErr(err)
 	assertShed(t, large, http.StatusRequestEntityTooLarge)
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"fmt"
+	"io"
 	"maps"
 	"sync"
 )
@@ -25,23 +27,32 @@
 
 // ledger counts what a backend runs and refuses.
 type ledger struct {
+	// journal outlives the process; nil for none.
+	journal io.Writer
+
 	mu     sync.Mutex
 	counts BackendCounts
 }
 
-func newLedger() *ledger {
-	return &ledger{counts: BackendCounts{Executions: make(map[string]int), Keys: make(map[string]int)}}
+func newLedger(journal io.Writer) *ledger {
+	return &ledger{journal: journal, counts: BackendCounts{Executions: make(map[string]int), Keys: make(map[string]int)}}
 }
 
-// run counts one execution.
-func (l *ledger) run(id, key string) {
+// run counts one execution; an error says that the journal does not hold it.
+func (l *ledger) run(id, key string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.journal != nil {
+		if _, err := fmt.Fprintf(l.journal, "%s\t%s\n", id, key); err != nil {
+			return err
+		}
+	}
 	l.counts.Total++
 	l.counts.Executions[id]++
 	if key != "" {
 		l.counts.Keys[key]++
 	}
+	return nil
 }
 
 // update changes the counts under the lock.
--- a/standin/work.go
+++ b/standin/work.go
@@ -103,7 +103,9 @@
 		return err
 	}
 	defer b.slots.release()
-	b.ledger.run(r.Header.Get(HeaderRequestID), r.Header.Get(HeaderIdempotencyKey))
+	if err := b.ledger.run(r.Header.Get(HeaderRequestID), r.Header.Get(HeaderIdempotencyKey)); err != nil {
+		return err
+	}
 	b.work(r.Context(), work)
 	return nil
 }
