--- /dev/null
+++ b/test/link_test.go
@@ -0,0 +1,157 @@
+package test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/Shopify/toxiproxy/v2/toxics"
+	"github.com/rs/zerolog"
+)
+
+// freezeToxic freezes existing connections of the named link and leaves new ones alone.
+type freezeToxic struct {
+	Link string `json:"link"`
+}
+
+// freezers holds the freezer of each link by its name.
+var freezers sync.Map
+
+// freezer freezes the connections that exist at a time, once and for good.
+type freezer struct {
+	mu     sync.Mutex
+	frozen chan struct{}
+}
+
+// current returns the channel that is closed when connections made now freeze.
+func (f *freezer) current() chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozen
+}
+
+func (f *freezer) freeze() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.frozen)
+	f.frozen = make(chan struct{})
+}
+
+func init() { toxics.Register("freeze", new(freezeToxic)) }
+
+// NewState returns the state of a new connection.
+func (t *freezeToxic) NewState() any {
+	value, _ := freezers.Load(t.Link)
+	f, _ := value.(*freezer)
+	return f.current()
+}
+
+// Pipe passes data on until the connection is frozen, then neither data nor the end of the connection.
+func (t *freezeToxic) Pipe(stub *toxics.ToxicStub) {
+	frozen, _ := stub.State.(chan struct{})
+	for {
+		select {
+		case <-frozen:
+			<-stub.Interrupt
+			return
+		default:
+		}
+		select {
+		case <-stub.Interrupt:
+			return
+		case <-frozen:
+		case chunk := <-stub.Input:
+			if chunk == nil {
+				stub.Close()
+				return
+			}
+			stub.Output <- chunk
+		}
+	}
+}
+
+// link is a proxy before one address.
+type link struct {
+	name    string
+	proxy   *toxiproxy.Proxy
+	freezer *freezer
+	slowed  bool
+}
+
+// links are all links of a script.
+type links struct {
+	server *toxiproxy.ApiServer
+	all    []*link
+}
+
+func newLinks() *links {
+	return &links{server: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())}
+}
+
+// add starts a link to the address.
+func (l *links) add(name, address string) (*link, error) {
+	added := &link{
+		name:    fmt.Sprintf("%p-%s", l, name),
+		freezer: &freezer{frozen: make(chan struct{})},
+	}
+	freezers.Store(added.name, added.freezer)
+	added.proxy = toxiproxy.NewProxy(l.server, added.name, "127.0.0.1:0", address)
+	if err := added.proxy.Start(); err != nil {
+		return nil, err
+	}
+	l.all = append(l.all, added)
+	for _, stream := range []string{"upstream", "downstream"} {
+		if err := added.toxic("freeze", stream, fmt.Sprintf(`{"link":%q}`, added.name)); err != nil {
+			return nil, err
+		}
+	}
+	return added, nil
+}
+
+func (l *links) close() {
+	for _, each := range l.all {
+		each.proxy.Stop()
+		freezers.Delete(each.name)
+	}
+}
+
+// address returns the address to connect to.
+func (l *link) address() string { return l.proxy.Listen }
+
+// lead makes the link lead to another address.
+func (l *link) lead(address string) error {
+	return l.proxy.Update(&toxiproxy.Proxy{Listen: l.proxy.Listen, Upstream: address, Enabled: true})
+}
+
+func (l *link) cut() error {
+	l.proxy.Stop()
+	return nil
+}
+
+func (l *link) heal() error { return l.proxy.Start() }
+
+func (l *link) freeze() error {
+	l.freezer.freeze()
+	return nil
+}
+
+// slow delays each chunk in both directions by half of the milliseconds.
+func (l *link) slow(milliseconds int64) error {
+	if l.slowed {
+		return fmt.Errorf("link %s is slow already", l.name)
+	}
+	l.slowed = true
+	for _, stream := range []string{"upstream", "downstream"} {
+		if err := l.toxic("latency", stream, fmt.Sprintf(`{"latency":%d}`, milliseconds/2)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *link) toxic(kind, stream, attributes string) error {
+	text := fmt.Sprintf(`{"name":"%s_%s","type":%q,"stream":%q,"attributes":%s}`, kind, stream, kind, stream, attributes)
+	_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(text))
+	return err
+}
--- /dev/null
+++ b/test/scenario_test.go
@@ -0,0 +1,146 @@
+// Package test runs scripted scenarios with real processes behind fault-injecting proxies.
+package test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// parallelScripts bounds the scripts that run at once.
+const parallelScripts = "2"
+
+// binaries is the directory of the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("test.parallel", parallelScripts); err != nil {
+		panic(err)
+	}
+	os.Exit(run(m))
+}
+
+// run builds the programs once and runs the tests.
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "eelgrassbeam-test")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binaries = dir
+	build := exec.Command("go", "build", "-race", "-p", "2", "-o", dir, "../cmd/...")
+	build.Stdout, build.Stderr = os.Stdout, os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build of the programs failed:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: setup, Cmds: wrapped()})
+}
+
+// worldKey is the key of a script's world.
+type worldKey struct{}
+
+func setup(env *testscript.Env) error {
+	w := newWorld(env)
+	env.Values[worldKey{}] = w
+	env.Setenv("PATH", binaries+string(filepath.ListSeparator)+env.Getenv("PATH"))
+	env.Setenv("GORACE", "halt_on_error=1")
+	env.Defer(w.close)
+	return nil
+}
+
+// command runs one command of a script and returns its output.
+type command func(w *world, args []string) (string, error)
+
+// commands are the commands of scripts besides testscript's own.
+var commands map[string]command
+
+func init() {
+	commands = map[string]command{
+		"platform": startPlatform, "backend": startBackend, "entry": startEntry,
+		"waitready": waitReady, "sigkill": kill, "shutdown": stopNode, "freeze": freeze, "thaw": thaw, "restart": restart,
+		"cut": cut, "heal": heal, "freezeconns": freezeConnections, "slow": slow,
+		"fault": fault, "config": putConfiguration, "state": putState, "logs": logs, "exits": exits,
+		"call": call, "load": startLoad, "loaded": waitLoaded, "waitload": waitLoad, "verify": verify, "waitfor": waitFor,
+	}
+}
+
+// wrapped adapts the commands to testscript.
+func wrapped() map[string]func(*testscript.TestScript, bool, []string) {
+	adapted := make(map[string]func(*testscript.TestScript, bool, []string))
+	for name, run := range commands {
+		adapted[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			w, _ := ts.Value(worldKey{}).(*world)
+			w.ts = ts
+			out, err := run(w, args)
+			_, _ = fmt.Fprint(ts.Stdout(), out)
+			switch {
+			case neg && err == nil:
+				ts.Fatalf("%s succeeded", name)
+			case neg:
+				_, _ = fmt.Fprintln(ts.Stderr(), err)
+			default:
+				ts.Check(err)
+			}
+		}
+	}
+	return adapted
+}
+
+// waitFor repeats a command until its output matches: waitfor DURATION REGEXP COMMAND ARGS.
+func waitFor(w *world, args []string) (string, error) {
+	if len(args) < 3 {
+		return "", errors.New("usage: waitfor DURATION REGEXP COMMAND ARGS")
+	}
+	wait, err := time.ParseDuration(args[0])
+	if err != nil {
+		return "", err
+	}
+	pattern, err := regexp.Compile("(?m)" + args[1])
+	if err != nil {
+		return "", err
+	}
+	run, ok := commands[args[2]]
+	if !ok {
+		return "", fmt.Errorf("no command %q", args[2])
+	}
+	out, err := poll(wait, func() (string, bool, error) {
+		out, err := run(w, args[3:])
+		return out, err == nil && pattern.MatchString(out), err
+	})
+	if err != nil {
+		return out, fmt.Errorf("waitfor %s: %w\n%s", strings.Join(args, " "), err, out)
+	}
+	return out, nil
+}
+
+// poll repeats the check until it holds or the wait is over.
+func poll(wait time.Duration, check func() (string, bool, error)) (string, error) {
+	deadline := time.After(wait)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		out, ok, err := check()
+		if ok {
+			return out, nil
+		}
+		select {
+		case <-tick.C:
+		case <-deadline:
+			return out, errors.Join(fmt.Errorf("does not hold within %s", wait), err)
+		}
+	}
+}
