Add the operators' command line

Operators need one command for configuration, exceptions, drains, status, look-ups and decisions, whose exit status tells a refusal from a conflict, an unknown outcome and a version that is not yet in force everywhere.

Each change carries an id made by the command. After a lost answer the command repeats the change under that id, which reads back whether it is stored; taking the lost answer for a failure was ruled out, since the change may stand. Tests lose answers before and after the change took effect, cut the connection in place of the answer, and let another change overtake it; the last stays "unknown" with its own exit status. An entry gives up a rebase after its time, so a late one cannot undo a later change.

--- /dev/null
+++ b/cmd/eelgrassbeam/cmd_config_diff.go
@@ -0,0 +1,49 @@
+package main
+
+import "context"
+
+// configDiff shows what applying a file would change.
+var configDiff = command{
+	name:        "config diff",
+	description: "show what a configuration document would change; - reads standard input",
+	arguments:   []string{"FILE"},
+	action: func(ctx context.Context, s *session, args []string) error {
+		data, err := s.readFile(args[0])
+		if err != nil {
+			return err
+		}
+		wanted, err := parseDocument(data)
+		if err != nil {
+			return err
+		}
+		current, _, err := s.configuration(ctx)
+		if err != nil {
+			return err
+		}
+		document, err := parseDocument(current)
+		if err != nil {
+			return err
+		}
+		return s.printDifferences(differences(settings(document), settings(wanted)))
+	},
+}
+
+// settings returns the document without what each stored version changes anyway.
+func settings(document any) any {
+	fields, ok := document.(map[string]any)
+	if !ok {
+		return document
+	}
+	return map[string]any{"defaults": fields["defaults"], "exceptions": fields["exceptions"]}
+}
+
+func (s *session) printDifferences(found []difference) error {
+	if found == nil {
+		found = []difference{}
+	}
+	var rows []string
+	for _, d := range found {
+		rows = append(rows, row(d.Path, d.Old, "->", d.New))
+	}
+	return s.print(found, rows)
+}
--- /dev/null
+++ b/cmd/eelgrassbeam/cmd_config_get.go
@@ -0,0 +1,26 @@
+package main
+
+import "context"
+
+// configGet prints the configuration document, which config apply takes back.
+var configGet = command{
+	name:        "config get",
+	description: "print the configuration in force, or the value at a path of it",
+	arguments:   []string{"[PATH]"},
+	action: func(ctx context.Context, s *session, args []string) error {
+		data, _, err := s.configuration(ctx)
+		if err != nil {
+			return err
+		}
+		document, err := parseDocument(data)
+		if err != nil {
+			return err
+		}
+		if len(args) == 1 {
+			if document, err = find(document, args[0]); err != nil {
+				return err
+			}
+		}
+		return s.printJSON(document)
+	},
+}
--- /dev/null
+++ b/cmd/eelgrassbeam/cmd_status.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/operator"
+)
+
+// status prints the fleet as one entry sees it.
+var status = command{
+	name:        "status",
+	description: "show versions in force, entries, zones and upstreams",
+	action: func(ctx context.Context, s *session, _ []string) error {
+		found, err := s.status(ctx)
+		if err != nil {
+			return err
+		}
+		if s.options.output == outputJSON {
+			return s.printJSON(found)
+		}
+		for _, rows := range [][]string{
+			versionRows(found), entryRows(found.Entries), zoneRows(found.Zones), upstreamRows(found.Upstreams),
+		} {
+			if err := s.printTable(rows); err != nil {
+				return err
+			}
+		}
+		return nil
+	},
+}
+
+func versionRows(found operator.Status) []string {
+	line := fmt.Sprintf("version %d stored, in force on %d of %d entries (seen by %s)",
+		found.StoredVersion, found.InForce, found.Live, found.Reporter)
+	if !found.StoreReachable {
+		line += "; the platform does not answer, so a later version may be stored"
+	}
+	rows := []string{line}
+	for _, m := range found.Missing {
+		rows = append(rows, fmt.Sprintf("missing on %s for %s: version %d is in force there", m.Entry, m.For, m.Version))
+	}
+	return rows
+}
+
+func entryRows(entries []operator.EntryStatus) []string {
+	rows := []string{"", row("ENTRY", "REGION", "ZONE", "STATE", "VERSION", "LAG", "ADDRESS", "OPERATORS")}
+	for _, e := range entries {
+		rows = append(rows, row(e.ID, e.Region, e.Zone, state(e.State, e.Drained), e.Version, e.Lag,
+			address(e.Address), address(e.OperatorAddress)))
+	}
+	return rows
+}
+
+func zoneRows(zones []operator.ZoneStatus) []string {
+	rows := []string{"", row("ZONE", "REGION", "DRAINED", "ENTRIES", "UPSTREAMS", "SLOTS", "IN PROGRESS", "WAITING")}
+	for _, z := range zones {
+		rows = append(rows, row(z.Zone, z.Region, z.Drained, z.LiveEntries, z.LiveUpstreams, z.Slots, z.InProgress, z.Waiting))
+	}
+	return rows
+}
+
+func upstreamRows(upstreams []operator.UpstreamStatus) []string {
+	rows := []string{"", row("UPSTREAM", "SERVICE", "REGION", "ZONE", "STATE", "DISPATCHER", "SLOTS", "IN PROGRESS", "WAITING")}
+	for _, u := range upstreams {
+		rows = append(rows, row(u.ID, u.Service, u.Region, u.Zone, state(u.State, u.Drained), u.Dispatcher,
+			u.Slots, u.InProgress, u.Waiting))
+	}
+	return rows
+}
+
+func state(s eelgrassbeam.InstanceState, isDrained bool) string {
+	if isDrained {
+		return string(s) + ",drained"
+	}
+	return string(s)
+}
+
+func address(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
--- /dev/null
+++ b/cmd/eelgrassbeam/main.go
@@ -0,0 +1,57 @@
+// Command eelgrassbeam is the operators' command line.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// version is set when linking.
+var version = "development"
+
+// environment is what a command takes from its process.
+type environment struct {
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+	clock  eelgrassbeam.Clock
+	// newID returns a unique id for a change.
+	newID func() eelgrassbeam.ChangeID
+	// author is the author of changes unless a flag names another.
+	author string
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := run(ctx, processEnvironment(), os.Args[1:])
+	stop()
+	os.Exit(status)
+}
+
+func processEnvironment() environment {
+	return environment{
+		stdin:  os.Stdin,
+		stdout: os.Stdout,
+		stderr: os.Stderr,
+		clock:  clockwork.NewRealClock(),
+		newID:  func() eelgrassbeam.ChangeID { return eelgrassbeam.ChangeID("change-" + rand.Text()) },
+		author: currentUser(),
+	}
+}
+
+func currentUser() string {
+	account, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return account.Username
+}
--- a/operator/exception.go
+++ b/operator/exception.go
@@ -6,11 +6,15 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 	genoperator "github.com/eelgrassbeam/eelgrassbeam/gen/operator"
 )
 
+// changeTimeout bounds one change, its rebases included.
+const changeTimeout = 3 * time.Second
+
 // maxRebases bounds how often a change of one exception is rebased on another operator's change.
 const maxRebases = 4
 
@@ -89,6 +93,8 @@
 	if !ok {
 		return nil, genoperator.MakeNotReady(errNoConfiguration)
 	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
 	base := *current
 	for rebase := 0; ; rebase++ {
 		stored, err := s.editOnce(ctx, made, base, change)
@@ -109,6 +115,10 @@
 	ctx context.Context, made eelgrassbeam.Change, base eelgrassbeam.Configuration,
 	change func([]eelgrassbeam.Exception) ([]eelgrassbeam.Exception, error),
 ) (*eelgrassbeam.Configuration, error) {
+	// A rebase after its time could undo what the operator has done since at another entry.
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", eelgrassbeam.ErrUnavailable, err)
+	}
 	want := Change{Configuration: eelgrassbeam.Configuration{Change: made}}
 	exceptions, refusal := change(base.Exceptions)
 	if errors.Is(refusal, errUnchanged) {
