--- a/test/call_test.go
+++ b/test/call_test.go
@@ -34,9 +34,6 @@
 		return "", err
 	}
 	args = flags.Args()
-	if len(args) < 4 {
-		return "", errors.New("usage: call [FLAGS] NAME METHOD HOST PATH [HEADER=VALUE...] [BODY]")
-	}
 	target, err := w.node(args[0])
 	if err != nil {
 		return "", err
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -100,9 +100,6 @@
 
 // aim sets the entries' URLs and the mix.
 func (l *load) aim(w *world, args []string) error {
-	if len(args) < 2 {
-		return errors.New("usage: load [FLAGS] NAMES a mix of WEIGHT:METHOD:HOST:PATH")
-	}
 	for name := range strings.SplitSeq(args[0], ",") {
 		n, err := w.node(name)
 		if err != nil {
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,30 +71,62 @@
 	)
 }
 
-// command runs one command of a script and returns its output.
-type command func(w *world, args []string) (string, error)
+// command is one command of scripts, with its least number of arguments.
+type command struct {
+	run   func(w *world, args []string) (string, error)
+	least int
+	usage string
+}
 
 // commands are the commands of scripts besides testscript's own.
 var commands map[string]command
 
 func init() {
 	commands = map[string]command{
-		"platform": startPlatform, "backend": startBackend, "entry": startEntry, "fleet": startFleet,
-		"waitready": waitReady, "sigkill": kill, "shutdown": stopNode, "freeze": freeze, "thaw": thaw, "restart": restart,
-		"cut": cut, "heal": heal, "freezeconns": freezeConnections, "slow": slow,
-		"fault": fault, "config": putConfiguration, "state": putState, "logs": logs, "exits": exits,
-		"call": call, "load": startLoad, "loaded": waitLoaded, "waitload": waitLoad, "verify": verify, "waitfor": waitFor,
+		"platform":    {startPlatform, 1, "NAME [FLAGS]"},
+		"backend":     {startBackend, 4, "NAME SERVICE ZONE REGION [FLAGS]"},
+		"entry":       {startEntry, 3, "NAME ZONE REGION [FLAGS]"},
+		"fleet":       {startFleet, 0, "[ENTRY FLAGS]"},
+		"waitready":   {eachNode((*node).waitReady), 1, "NAMES"},
+		"sigkill":     {eachNode((*node).kill), 1, "NAMES"},
+		"shutdown":    {eachNode((*node).stop), 1, "NAMES"},
+		"freeze":      {eachNode(signalNode(syscall.SIGSTOP)), 1, "NAMES"},
+		"thaw":        {eachNode(signalNode(syscall.SIGCONT)), 1, "NAMES"},
+		"restart":     {restart, 1, "NAME"},
+		"cut":         {eachLink((*link).cut), 1, "NAMES"},
+		"heal":        {eachLink((*link).heal), 1, "NAMES"},
+		"freezeconns": {eachLink((*link).freeze), 1, "NAMES"},
+		"slow":        {slow, 2, "NAME DURATION"},
+		"fault":       {fault, 1, "NAME [JSON]"},
+		"state":       {putState, 2, "NAME STATE"},
+		"config":      {putConfiguration, 1, "FILE"},
+		"logs":        {logs, 2, "NAME REGEXP"},
+		"exits":       {exits, 2, "STATUS PROGRAM [ARGS]"},
+		"call":        {call, 4, "[FLAGS] NAME METHOD HOST PATH [HEADER=VALUE...] [BODY]"},
+		"load":        {startLoad, 2, "[FLAGS] NAMES WEIGHT:METHOD:HOST:PATH..."},
+		"loaded":      {waitLoaded, 1, "N"},
+		"waitload":    {waitLoad, 0, ""},
+		"verify":      {verify, 0, ""},
+		"waitfor":     {waitFor, 3, "DURATION REGEXP COMMAND [ARGS]"},
 	}
 }
 
+// call checks the number of arguments and runs the command.
+func (c command) call(w *world, args []string) (string, error) {
+	if len(args) < c.least {
+		return "", fmt.Errorf("want arguments %s", c.usage)
+	}
+	return c.run(w, args)
+}
+
 // wrapped adapts the commands to testscript.
 func wrapped() map[string]func(*testscript.TestScript, bool, []string) {
 	adapted := make(map[string]func(*testscript.TestScript, bool, []string))
-	for name, run := range commands {
+	for name, c := range commands {
 		adapted[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			w, _ := ts.Value(worldKey{}).(*world)
 			w.ts = ts
-			out, err := run(w, args)
+			out, err := c.call(w, args)
 			_, _ = fmt.Fprint(ts.Stdout(), out)
 			switch {
 			case neg && err == nil:
@@ -110,9 +143,6 @@
 
 // waitFor repeats a command until its output matches: waitfor DURATION REGEXP COMMAND ARGS.
 func waitFor(w *world, args []string) (string, error) {
-	if len(args) < 3 {
-		return "", errors.New("usage: waitfor DURATION REGEXP COMMAND ARGS")
-	}
 	wait, err := time.ParseDuration(args[0])
 	if err != nil {
 		return "", err
@@ -121,12 +151,12 @@
 	if err != nil {
 		return "", err
 	}
-	run, ok := commands[args[2]]
+	repeated, ok := commands[args[2]]
 	if !ok {
 		return "", fmt.Errorf("no command %q", args[2])
 	}
 	out, err := poll(wait, func() (string, bool, error) {
-		out, err := run(w, args[3:])
+		out, err := repeated.call(w, args[3:])
 		return out, err == nil && pattern.MatchString(out), err
 	})
 	if err != nil {
--- a/test/world_test.go
+++ b/test/world_test.go
@@ -150,9 +150,6 @@
 
 // register puts the node's row on the platform's list.
 func (w *world) register(n *node) error {
-	if w.platform == nil {
-		return errors.New("no platform is started")
-	}
 	body, err := json.Marshal(n.row)
 	if err != nil {
 		return err
