Find an overtaken change among the recent ones

A change whose answer was lost and which others then overtook stayed unknown, and a document with recent changes, as config get prints it, was refused for an unknown field. Configuration now lists recent changes, so Change.Over finds the change there, and the command line reads the configuration that conflicts: it includes the change (stored), or the change that it rests on (a conflict, nothing is stored), or neither (unknown). Versions alone can't tell, since the platform's versions rise with any object.

--- a/cmd/eelgrassbeam/change.go
+++ b/cmd/eelgrassbeam/change.go
@@ -11,12 +11,24 @@
 	"github.com/eelgrassbeam/eelgrassbeam/operator"
 )
 
-// changeCall sends one change; repeats under the same change id have no further effect.
-type changeCall func(context.Context, *genoperator.Client) (json.RawMessage, error)
+// change is one change that the command sends.
+type change struct {
+	id eelgrassbeam.ChangeID
+	// base made the version that the change rests on; empty where the entry chooses it.
+	base eelgrassbeam.ChangeID
+	// send sends the change; repeats under the same id have no further effect.
+	send func(context.Context, *genoperator.Client) (json.RawMessage, error)
+}
+
+// storedChange is the part of a stored configuration that names it.
+type storedChange struct {
+	Version uint64              `json:"version"`
+	Change  eelgrassbeam.Change `json:"change"`
+}
 
-// change sends the change, reports what is stored and waits for it where asked to.
-func (s *session) change(ctx context.Context, id eelgrassbeam.ChangeID, call changeCall) error {
-	stored, err := s.store(ctx, id, call)
+// makeChange sends the change, reports what is stored and waits for it where asked to.
+func (s *session) makeChange(ctx context.Context, c change) error {
+	stored, err := s.store(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -31,47 +43,69 @@
 
 // store sends the change to the entries in order. After a lost answer it repeats the change under its id,
 // which reads back whether it is stored, until the time is up.
-func (s *session) store(ctx context.Context, id eelgrassbeam.ChangeID, call changeCall) (storedChange, error) {
+func (s *session) store(ctx context.Context, c change) (storedChange, error) {
 	isLost := false
 	for {
 		var faults []error
-		for _, c := range s.connections {
-			document, err := attempt(ctx, c, call)
+		for _, conn := range s.connections {
+			document, err := attempt(ctx, conn, c.send)
 			if err == nil {
 				return decode[storedChange](document)
 			}
-			if c.isRefused() {
-				return resolve(id, isLost, err)
+			if conn.isRefused() && isLost {
+				return s.resolve(ctx, c, err)
+			}
+			if conn.isRefused() {
+				return ownConflict(c, err)
 			}
-			isLost = isLost || mayBeStored(c, err)
-			faults = append(faults, fmt.Errorf("%s: %w", c.address, err))
+			isLost = isLost || mayBeStored(conn, err)
+			faults = append(faults, fmt.Errorf("%s: %w", conn.address, err))
 		}
 		cause := errors.Join(faults...)
 		if !isLost {
 			return storedChange{}, cause
 		}
 		if !s.pause(ctx) {
-			return storedChange{}, &unknownError{changeID: string(id), cause: cause}
+			return storedChange{}, &unknownError{changeID: string(c.id), cause: cause}
 		}
 	}
 }
 
-// storedChange is the part of a stored configuration that names it.
-type storedChange struct {
-	Version uint64              `json:"version"`
-	Change  eelgrassbeam.Change `json:"change"`
+// ownConflict returns the change where the refusal is a conflict with the change itself.
+func ownConflict(c change, refusal error) (storedChange, error) {
+	var conflict *genoperator.ConflictError
+	if errors.As(refusal, &conflict) && conflict.ChangeID == string(c.id) {
+		return storedChange{Version: conflict.Version, Change: eelgrassbeam.Change{ID: c.id, Author: conflict.Author}}, nil
+	}
+	return storedChange{}, refusal
 }
 
-// resolve decides what a refusal means: after a lost answer it may be the change's own effect that is refused.
-func resolve(id eelgrassbeam.ChangeID, isLost bool, refusal error) (storedChange, error) {
+// resolve finds out what a conflict after a lost answer means: the change may be stored and overtaken. It reads
+// the configuration until the conflicting version is in force there and looks through its recent changes.
+func (s *session) resolve(ctx context.Context, c change, refusal error) (storedChange, error) {
+	if stored, err := ownConflict(c, refusal); err == nil {
+		return stored, nil
+	}
+	unknown := &unknownError{changeID: string(c.id), cause: refusal}
 	var conflict *genoperator.ConflictError
-	if errors.As(refusal, &conflict) && conflict.ChangeID == string(id) {
-		return storedChange{Version: conflict.Version, Change: eelgrassbeam.Change{ID: id, Author: conflict.Author}}, nil
+	if !errors.As(refusal, &conflict) {
+		return storedChange{}, unknown
 	}
-	if isLost {
-		return storedChange{}, &unknownError{changeID: string(id), cause: refusal}
+	for {
+		_, current, err := s.configuration(ctx)
+		switch {
+		case err != nil || current.Version < conflict.Version:
+			if !s.pause(ctx) {
+				return storedChange{}, unknown
+			}
+		case current.Includes(c.id):
+			return storedChange{Version: current.Version, Change: eelgrassbeam.Change{ID: c.id, Author: s.options.author}}, nil
+		case c.base != "" && current.Includes(c.base):
+			return storedChange{}, refusal
+		default:
+			return storedChange{}, unknown
+		}
 	}
-	return storedChange{}, refusal
 }
 
 // mayBeStored tells whether a failed call may have taken effect.
--- a/cmd/eelgrassbeam/cmd_config_apply.go
+++ b/cmd/eelgrassbeam/cmd_config_apply.go
@@ -26,20 +26,22 @@
 		if !json.Valid(data) {
 			return fmt.Errorf("%s: %w", args[0], errNotJSON)
 		}
-		expected, err := s.expectedVersion(data)
+		base, err := s.base(data)
 		if err != nil {
 			return err
 		}
-		return s.apply(ctx, expected, data)
+		return s.apply(ctx, base, data)
 	},
 }
 
-// apply stores the document if the expected version is still stored.
-func (s *session) apply(ctx context.Context, expected uint64, document []byte) error {
+// apply stores the document if the base is still stored.
+func (s *session) apply(ctx context.Context, base storedChange, document []byte) error {
 	id := s.newID()
-	return s.change(ctx, id, func(ctx context.Context, c *genoperator.Client) (json.RawMessage, error) {
+	return s.makeChange(ctx, change{id: id, base: base.Change.ID, send: func(
+		ctx context.Context, c *genoperator.Client,
+	) (json.RawMessage, error) {
 		result, err := c.ApplyConfiguration(ctx, &genoperator.ApplyConfigurationPayload{
-			ExpectedVersion: expected,
+			ExpectedVersion: base.Version,
 			Configuration:   document,
 			ChangeID:        string(id),
 			Author:          s.options.author,
@@ -50,25 +52,29 @@
 			return nil, err
 		}
 		return result.Document, nil
-	})
+	}})
 }
 
-// expectedVersion returns the version that the flag names, or else the document.
-func (s *session) expectedVersion(document []byte) (uint64, error) {
+// base returns the version that the document rests on; the flag's version goes before the document's own.
+func (s *session) base(document []byte) (storedChange, error) {
 	if s.options.expected != "" {
-		expected, err := strconv.ParseUint(s.options.expected, 10, 64)
+		version, err := strconv.ParseUint(s.options.expected, 10, 64)
 		if err != nil {
-			return 0, usagef("--expected-version %q: want a whole number", s.options.expected)
+			return storedChange{}, usagef("--expected-version %q: want a whole number", s.options.expected)
 		}
-		return expected, nil
+		return storedChange{Version: version}, nil
 	}
+	// A document that never was stored has a change without an id.
 	var named struct {
 		Version uint64 `json:"version"`
+		Change  struct {
+			ID string `json:"id"`
+		} `json:"change"`
 	}
 	if err := json.Unmarshal(document, &named); err != nil {
-		return 0, fmt.Errorf("%w: document: %w", eelgrassbeam.ErrInvalid, err)
+		return storedChange{}, fmt.Errorf("%w: document: %w", eelgrassbeam.ErrInvalid, err)
 	}
-	return named.Version, nil
+	return storedChange{Version: named.Version, Change: eelgrassbeam.Change{ID: eelgrassbeam.ChangeID(named.Change.ID)}}, nil
 }
 
 // readFile returns the file's content, or standard input's for "-".
--- a/cmd/eelgrassbeam/cmd_config_set.go
+++ b/cmd/eelgrassbeam/cmd_config_set.go
@@ -27,6 +27,6 @@
 		if err != nil {
 			return err
 		}
-		return s.apply(ctx, configuration.Version, changed)
+		return s.apply(ctx, storedChange{Version: configuration.Version, Change: configuration.Change}, changed)
 	},
 }
--- a/cmd/eelgrassbeam/cmd_exception_add.go
+++ b/cmd/eelgrassbeam/cmd_exception_add.go
@@ -43,11 +43,11 @@
 	if s.options.expiresIn > 0 {
 		payload.ExpiresIn = optional(s.options.expiresIn.String())
 	}
-	return s.change(ctx, id, func(ctx context.Context, c *genoperator.Client) (json.RawMessage, error) {
+	return s.makeChange(ctx, change{id: id, send: func(ctx context.Context, c *genoperator.Client) (json.RawMessage, error) {
 		result, err := c.AddException(ctx, payload)
 		if err != nil {
 			return nil, err
 		}
 		return result.Document, nil
-	})
+	}})
 }
--- a/cmd/eelgrassbeam/cmd_exception_remove.go
+++ b/cmd/eelgrassbeam/cmd_exception_remove.go
@@ -20,7 +20,7 @@
 
 func (s *session) removeException(ctx context.Context, exception, note string) error {
 	id := s.newID()
-	return s.change(ctx, id, func(ctx context.Context, c *genoperator.Client) (json.RawMessage, error) {
+	return s.makeChange(ctx, change{id: id, send: func(ctx context.Context, c *genoperator.Client) (json.RawMessage, error) {
 		result, err := c.RemoveException(ctx, &genoperator.RemoveExceptionPayload{
 			ID: exception, ChangeID: string(id), Author: s.options.author, Note: optional(note),
 		})
@@ -28,5 +28,5 @@
 			return nil, err
 		}
 		return result.Document, nil
-	})
+	}})
 }
--- a/cmd/eelgrassbeam/command_test.go
+++ b/cmd/eelgrassbeam/command_test.go
@@ -158,13 +158,24 @@
 		wantStatus(is, f.run("", "drain", "zone", "austro-a", "--reason", "rewiring", "--timeout", "500ms"),
 			exitUnknown, "change-1")
 	})
-	t.Run("stays unknown when another change has come after", func(t *testing.T) {
-		is := is.New(t)
-		f := newFixture(t)
-		document := f.run("", "config", "get").out
-		f.url = serve(t, f.backend, func(h http.Handler) http.Handler { return overtake(f.backend, cutAnswers(h)) }) + "," + f.url
-		wantStatus(is, f.run(document, "config", "apply", "-"), exitUnknown)
-	})
+	for name, test := range map[string]struct {
+		stores bool
+		listed int
+		want   int
+	}{
+		"a change overtaken by others is found among them":        {stores: true, listed: 8, want: exitDone},
+		"a change that others came before is a conflict":          {stores: false, listed: 8, want: exitConflict},
+		"a change overtaken beyond the listed ones stays unknown": {stores: true, listed: 1, want: exitUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t)
+			document := f.run("", "config", "get").out
+			f.backend.lost, f.backend.stores = 1, test.stores
+			f.url = serve(t, f.backend, func(h http.Handler) http.Handler { return overtake(f.backend, test.listed, h) })
+			wantStatus(is, f.run(document, "config", "apply", "-"), test.want)
+		})
+	}
 }
 
 func TestEntries(t *testing.T) {
@@ -214,16 +225,21 @@
 	})
 }
 
-// overtake stores another change right after the one that is served.
-func overtake(backend *fakeBackend, next http.Handler) http.Handler {
+// overtake stores two other changes after each one that is served and keeps the listed number of recent ones.
+func overtake(backend *fakeBackend, listed int, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer func() {
-			backend.mu.Lock()
-			defer backend.mu.Unlock()
-			backend.stored = backend.stored.WithVersion(backend.stored.Version + 1).
-				WithChange(eelgrassbeam.Change{ID: "c-other", Author: "eva"})
-		}()
 		next.ServeHTTP(w, r)
+		if r.Method == http.MethodGet {
+			return
+		}
+		backend.mu.Lock()
+		defer backend.mu.Unlock()
+		for _, id := range []eelgrassbeam.ChangeID{"c-other-1", "c-other-2"} {
+			recent := append([]eelgrassbeam.Change{backend.stored.Change}, backend.stored.RecentChanges...)
+			backend.stored = backend.stored.WithVersion(backend.stored.Version + 1).
+				WithChange(eelgrassbeam.Change{ID: id, Author: "eva"}).
+				WithRecentChanges(recent[:min(len(recent), listed)])
+		}
 	})
 }
 
--- a/cmd/eelgrassbeam/fake_test.go
+++ b/cmd/eelgrassbeam/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -61,13 +62,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	stored := b.stored
-	if stored.Change.ID == change.Configuration.Change.ID {
+	next, err := change.Over(stored)
+	if errors.Is(err, operator.ErrIncluded) {
 		return &stored, nil
 	}
-	if change.Expected != stored.Version {
-		return nil, &operator.ConflictError{Stored: stored}
+	if err != nil {
+		return nil, err
 	}
-	next := change.Configuration.WithVersion(stored.Version + 1)
+	next = next.WithVersion(stored.Version + 1).WithRecentChanges(append([]eelgrassbeam.Change{stored.Change}, stored.RecentChanges...))
 	isLost := b.lost > 0
 	if !change.DryRun && (!isLost || b.stores) {
 		b.stored = next
--- a/operator/change.go
+++ b/operator/change.go
@@ -20,10 +20,25 @@
 	DryRun bool
 }
 
+// Over returns the configuration to store over the stored one. Errors are ErrIncluded where the change is
+// stored already, or a *ConflictError.
+func (c Change) Over(stored eelgrassbeam.Configuration) (eelgrassbeam.Configuration, error) {
+	if stored.Version > 0 && stored.Includes(c.Configuration.Change.ID) {
+		return stored, ErrIncluded
+	}
+	if stored.Version != c.Expected {
+		return stored, &ConflictError{Stored: stored}
+	}
+	return c.Configuration, nil
+}
+
+// ErrIncluded reports that the stored configuration already includes the change.
+var ErrIncluded = errors.New("the change is stored already")
+
 // WithBase returns a copy that rests on the stored configuration with its defaults and the exceptions.
 func (c Change) WithBase(stored eelgrassbeam.Configuration, exceptions []eelgrassbeam.Exception) Change {
 	c.Expected = stored.Version
-	c.Configuration = stored.WithChange(c.Configuration.Change).WithExceptions(exceptions)
+	c.Configuration = stored.WithChange(c.Configuration.Change).WithExceptions(exceptions).WithRecentChanges(nil)
 	return c
 }
 
@@ -70,10 +85,12 @@
 
 // document is a configuration whose parts are decoded one by one, so that each part's faults are found.
 type document struct {
-	Version    uint64              `json:"version"`
-	Change     eelgrassbeam.Change `json:"change"`
-	Defaults   json.RawMessage     `json:"defaults"`
-	Exceptions []json.RawMessage   `json:"exceptions"`
+	Version    uint64            `json:"version"`
+	Defaults   json.RawMessage   `json:"defaults"`
+	Exceptions []json.RawMessage `json:"exceptions"`
+	// Change and RecentChanges are taken and dropped, so that a document that was read can be sent back.
+	Change        json.RawMessage `json:"change"`
+	RecentChanges json.RawMessage `json:"recent_changes"`
 }
 
 // DecodeDocument decodes a configuration document, refuses unknown fields and returns all faults joined.
@@ -82,7 +99,7 @@
 	if err := decodeStrictly(data, &parts); err != nil {
 		return eelgrassbeam.Configuration{}, asInvalid("configuration", err)
 	}
-	configuration := eelgrassbeam.Configuration{Version: parts.Version, Change: parts.Change}
+	configuration := eelgrassbeam.Configuration{Version: parts.Version}
 	var faults []error
 	if err := decodeStrictly(parts.Defaults, &configuration.Defaults); err != nil {
 		faults = append(faults, asInvalid("defaults", err))
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -40,10 +41,14 @@
 	if b.err != nil {
 		return nil, b.err
 	}
-	if change.Expected != b.stored.Version {
-		return nil, &ConflictError{Stored: b.stored}
+	next, err := change.Over(b.stored)
+	if errors.Is(err, ErrIncluded) {
+		return &next, nil
 	}
-	next := change.Configuration.WithVersion(b.stored.Version + 1)
+	if err != nil {
+		return nil, err
+	}
+	next = next.WithVersion(b.stored.Version + 1)
 	if !change.DryRun {
 		b.stored = next
 		b.applied++
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -55,6 +55,24 @@
 		is.Equal(stored.Change.Author, "luz")
 		is.Equal(backend.stored.Change.ID, eelgrassbeam.ChangeID("c-1"))
 	})
+	t.Run("stores a repeated change once", func(t *testing.T) {
+		is := is.New(t)
+		backend := newFakeBackend()
+		c := clientOf(serve(t, backend))
+		for range 2 {
+			_, err := c.ApplyConfiguration(ctx, applyPayload(t, 5, validConfiguration()))
+			is.NoErr(err)
+		}
+		is.Equal(backend.applied, 1)
+	})
+	t.Run("takes back a document that was read", func(t *testing.T) {
+		is := is.New(t)
+		backend := newFakeBackend()
+		read := validConfiguration().WithVersion(5).WithRecentChanges([]eelgrassbeam.Change{{ID: "c-00", Author: "ana"}})
+		_, err := clientOf(serve(t, backend)).ApplyConfiguration(ctx, applyPayload(t, 5, read))
+		is.NoErr(err)
+		is.Equal(len(backend.stored.RecentChanges), 0)
+	})
 	t.Run("names the other change on a conflict", func(t *testing.T) {
 		is := is.New(t)
 		_, err := clientOf(serve(t, newFakeBackend())).ApplyConfiguration(ctx, applyPayload(t, 4, validConfiguration()))
