--- a/cmd/eelgrassbeam/cmd_lookup.go
+++ b/cmd/eelgrassbeam/cmd_lookup.go
@@ -13,7 +13,7 @@
 	description: "show which entries a caller is told to use",
 	flags:       []string{"caller-url", "client"},
 	action: func(ctx context.Context, s *session, _ []string) error {
-		c := newConnection(s.options.callerURL, s.client, s.options.tls.IsSet())
+		c := newConnection(s.options.callerURL, s.client, false)
 		answer, err := c.lookup().Lookup(ctx, &genlookup.LookupPayload{Client: optional(s.options.client)})
 		if err != nil {
 			return err
--- a/cmd/eelgrassbeam/options.go
+++ b/cmd/eelgrassbeam/options.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	defaultOperatorURL = "127.0.0.1:8081"
+	defaultOperatorURL = "127.0.0.1:8082"
 	defaultCallerURL   = "127.0.0.1:8080"
 	defaultTimeout     = 10 * time.Second
 	defaultLimit       = 50
--- a/design/design.go
+++ b/design/design.go
@@ -18,7 +18,7 @@
 	Server("operators", func() {
 		Description("The operators' listener of an entry.")
 		Services("operator")
-		Host("instance", func() { URI("http://127.0.0.1:8081") })
+		Host("instance", func() { URI("http://127.0.0.1:8082") })
 	})
 })
 
