Store a change under the id that its author gave

Cause: an operator's client names its change so that a lost answer can be resolved, but the changer made an id of its own. Ruled out: mapping ids in the daemon, which keeps nothing. Before: Change only. Conclusion: one write path for both.

--- a/changer/changer.go
+++ b/changer/changer.go
@@ -77,11 +77,23 @@
 	return Decode(object)
 }
 
-// Change stores what mutate makes of the stored configuration and returns it as stored. Mutate gets the zero
-// Configuration before there is one. Errors: ConflictError where another change came first, ErrOutcomeUnknown where
-// the context ended before the outcome was known; after any other error nothing is stored.
+// Change stores what mutate makes of the stored configuration under a new change id and returns it as stored.
+// Errors are those of Put.
 func (c *Changer) Change(
 	ctx context.Context, mutate func(eelgrassbeam.Configuration) (eelgrassbeam.Configuration, error), author, note string,
+) (eelgrassbeam.Configuration, error) {
+	change := eelgrassbeam.Change{ID: eelgrassbeam.ChangeID(uuid.NewString()), Author: author, At: c.config.Clock.Now().UTC(), Note: note}
+	return c.Put(ctx, func(base eelgrassbeam.Configuration) (eelgrassbeam.Configuration, error) {
+		next, err := mutate(base)
+		return next.WithChange(change), err
+	})
+}
+
+// Put stores what mutate makes of the stored configuration, under the change that it names, and returns it as stored.
+// Mutate gets the zero Configuration before there is one. Errors: ConflictError where another change came first,
+// ErrOutcomeUnknown where the context ended before the outcome was known; after any other error nothing is stored.
+func (c *Changer) Put(
+	ctx context.Context, mutate func(eelgrassbeam.Configuration) (eelgrassbeam.Configuration, error),
 ) (eelgrassbeam.Configuration, error) {
 	base, err := c.Read(ctx)
 	if err != nil && !errors.Is(err, eelgrassbeam.ErrNotFound) {
@@ -91,10 +103,9 @@
 	if err != nil {
 		return eelgrassbeam.Configuration{}, err
 	}
-	change := eelgrassbeam.Change{ID: eelgrassbeam.ChangeID(uuid.NewString()), Author: author, At: c.config.Clock.Now().UTC(), Note: note}
-	next = next.WithVersion(base.Version).WithChange(change).WithRecentChanges(pushChange(base))
+	next = next.WithVersion(base.Version).WithRecentChanges(pushChange(base))
 	stored, err := c.store(ctx, base, next)
-	c.logResult(stored, change, err)
+	c.logResult(stored, next.Change, err)
 	return stored, err
 }
 
