Apply operators' changes over a changer under the operators' own change id

The changer stores a mutation of whatever is stored, while operators send a document with the version that it rests on and a change id to read back by. Applier joins the two: it compares the expected version inside the mutation, finds a change that is stored already, and keeps "nothing is stored" apart from an unknown outcome. A removal whose answer was lost is now found as done. It needs a changer that takes the change; an id made by the changer itself was ruled out, since a lost answer could not be resolved by the sender.

--- a/cmd/eelgrassbeam/fake_test.go
+++ b/cmd/eelgrassbeam/fake_test.go
@@ -69,9 +69,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if change.DryRun {
+		return &next, nil
+	}
 	next = next.WithVersion(stored.Version + 1).WithRecentChanges(append([]eelgrassbeam.Change{stored.Change}, stored.RecentChanges...))
 	isLost := b.lost > 0
-	if !change.DryRun && (!isLost || b.stores) {
+	if !isLost || b.stores {
 		b.stored = next
 		b.applied++
 	}
--- /dev/null
+++ b/operator/applier_test.go
@@ -0,0 +1,80 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/changer"
+)
+
+// fakeChanger stores one configuration and fails after the mutation with err.
+type fakeChanger struct {
+	stored eelgrassbeam.Configuration
+	err    error
+}
+
+func (c *fakeChanger) Read(context.Context) (eelgrassbeam.Configuration, error) { return c.stored, nil }
+
+func (c *fakeChanger) ChangeAs(_ context.Context, mutate Mutation, change eelgrassbeam.Change) (eelgrassbeam.Configuration, error) {
+	next, err := mutate(c.stored)
+	if err == nil {
+		err = c.err
+	}
+	if err != nil {
+		return eelgrassbeam.Configuration{}, err
+	}
+	recent := append([]eelgrassbeam.Change{c.stored.Change}, c.stored.RecentChanges...)
+	c.stored = next.WithVersion(c.stored.Version + 1).WithChange(change).WithRecentChanges(recent)
+	return c.stored, nil
+}
+
+func newChange(id eelgrassbeam.ChangeID, expected uint64) Change {
+	return Change{Expected: expected, Configuration: validConfiguration().WithChange(eelgrassbeam.Change{ID: id, Author: "luz"})}
+}
+
+func TestApplier(t *testing.T) {
+	ctx := context.Background()
+	t.Run("keeps the change's id and finds it again after others", func(t *testing.T) {
+		is := is.New(t)
+		fake := &fakeChanger{stored: validConfiguration().WithVersion(5)}
+		for i, id := range []eelgrassbeam.ChangeID{"c-1", "c-2", "c-1"} {
+			_, err := Applier{fake}.Apply(ctx, newChange(id, 5+uint64(i)))
+			is.NoErr(err)
+		}
+		is.Equal(fake.stored.Version, uint64(7))
+		is.Equal(fake.stored.Change.ID, eelgrassbeam.ChangeID("c-2"))
+	})
+	t.Run("a dry run stores nothing and still names a conflict", func(t *testing.T) {
+		is := is.New(t)
+		fake := &fakeChanger{stored: validConfiguration().WithVersion(5)}
+		change := newChange("c-1", 5)
+		change.DryRun = true
+		checked, err := Applier{fake}.Apply(ctx, change)
+		is.NoErr(err)
+		is.Equal(checked.Version, uint64(0))
+		is.Equal(fake.stored.Version, uint64(5))
+		change.Expected = 4
+		_, err = Applier{fake}.Apply(ctx, change)
+		is.True(errors.Is(err, eelgrassbeam.ErrConflict))
+	})
+	for name, test := range map[string]struct{ err, want error }{
+		"a lost race is a conflict":               {&changer.ConflictError{Version: 6}, eelgrassbeam.ErrConflict},
+		"an unknown outcome is unavailable":       {fmt.Errorf("%w: late", changer.ErrOutcomeUnknown), eelgrassbeam.ErrUnavailable},
+		"no answer before the write is no change": {eelgrassbeam.ErrUnavailable, ErrNotStored},
+		"an invalid set stays invalid":            {eelgrassbeam.ErrInvalid, eelgrassbeam.ErrInvalid},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fake := &fakeChanger{stored: validConfiguration().WithVersion(5), err: test.err}
+			_, err := Applier{fake}.Apply(ctx, newChange("c-1", 5))
+			is.True(errors.Is(err, test.want))
+			var conflict *ConflictError
+			is.Equal(errors.As(err, &conflict), errors.Is(test.want, eelgrassbeam.ErrConflict))
+		})
+	}
+}
--- a/operator/change.go
+++ b/operator/change.go
@@ -38,7 +38,7 @@
 // WithBase returns a copy that rests on the stored configuration with its defaults and the exceptions.
 func (c Change) WithBase(stored eelgrassbeam.Configuration, exceptions []eelgrassbeam.Exception) Change {
 	c.Expected = stored.Version
-	c.Configuration = stored.WithChange(c.Configuration.Change).WithExceptions(exceptions).WithRecentChanges(nil)
+	c.Configuration = stored.WithVersion(0).WithChange(c.Configuration.Change).WithExceptions(exceptions).WithRecentChanges(nil)
 	return c
 }
 
--- a/operator/exception.go
+++ b/operator/exception.go
@@ -117,7 +117,7 @@
 ) (*eelgrassbeam.Configuration, error) {
 	// A rebase after its time could undo what the operator has done since at another entry.
 	if err := ctx.Err(); err != nil {
-		return nil, fmt.Errorf("%w: %w", eelgrassbeam.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", ErrNotStored, err)
 	}
 	want := Change{Configuration: eelgrassbeam.Configuration{Change: made}}
 	exceptions, refusal := change(base.Exceptions)
@@ -125,7 +125,7 @@
 		return &base, nil
 	}
 	if refusal != nil {
-		return nil, s.confirmRefusal(ctx, want.WithBase(base, base.Exceptions), refusal)
+		return s.confirmRefusal(ctx, want.WithBase(base, base.Exceptions), refusal)
 	}
 	want = want.WithBase(base, exceptions)
 	if err := want.Configuration.Validate(); err != nil {
@@ -134,13 +134,18 @@
 	return s.apply(ctx, want)
 }
 
-// confirmRefusal returns the refusal if its base is still stored, else the conflict; the base at this entry may lag.
-func (s *service) confirmRefusal(ctx context.Context, base Change, refusal error) error {
+// confirmRefusal returns the refusal if its base is still stored, else the conflict, as the base at this entry may
+// lag. Where the change is stored already it returns the stored configuration.
+func (s *service) confirmRefusal(ctx context.Context, base Change, refusal error) (*eelgrassbeam.Configuration, error) {
 	base.DryRun = true
-	if _, err := s.config.Backend.Apply(ctx, base); err != nil {
-		return err
+	checked, err := s.config.Backend.Apply(ctx, base)
+	if err != nil {
+		return nil, err
+	}
+	if checked.Version > 0 {
+		return checked, nil
 	}
-	return refusal
+	return nil, refusal
 }
 
 func exceptionOf(payload *genoperator.AddExceptionPayload, made eelgrassbeam.Change) (eelgrassbeam.Exception, error) {
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -48,12 +48,12 @@
 	if err != nil {
 		return nil, err
 	}
-	next = next.WithVersion(b.stored.Version + 1)
-	if !change.DryRun {
-		b.stored = next
-		b.applied++
+	if change.DryRun {
+		return &next, nil
 	}
-	return &next, nil
+	b.stored = next.WithVersion(b.stored.Version + 1)
+	b.applied++
+	return &b.stored, nil
 }
 
 func (b *fakeBackend) Status(context.Context) (Status, error) {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -23,8 +23,9 @@
 	eelgrassbeam.ConfigurationSource
 	// Apply checks and stores the change and returns the configuration as stored. A change whose id is
 	// already stored is returned as it stands. A dry run also compares the expected version and checks
-	// the set, and returns it without storing. Errors are a *ConflictError, or wrap
-	// eelgrassbeam.ErrInvalid or eelgrassbeam.ErrUnavailable; after the last the outcome is unknown.
+	// the set, and returns it under version 0 without storing it. Errors are a *ConflictError, or wrap
+	// eelgrassbeam.ErrInvalid, ErrNotStored or eelgrassbeam.ErrUnavailable; after the last the outcome is
+	// unknown. An Applier implements it over a changer.
 	Apply(ctx context.Context, change Change) (*eelgrassbeam.Configuration, error)
 	// Status returns the fleet's status. Errors wrap eelgrassbeam.ErrUnavailable.
 	Status(ctx context.Context) (Status, error)
--- a/operator/service.go
+++ b/operator/service.go
@@ -50,6 +50,8 @@
 		Configuration: configuration.WithVersion(0).WithChange(made),
 		DryRun:        payload.DryRun,
 	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
 	stored, err := s.apply(ctx, change)
 	if err != nil {
 		return nil, wireError(err, made.ID)
@@ -135,6 +137,8 @@
 		}
 	case errors.Is(err, eelgrassbeam.ErrInvalid):
 		return &genoperator.InvalidError{Message: "the change is refused; nothing is stored", Faults: Faults(err)}
+	case errors.Is(err, ErrNotStored):
+		return genoperator.MakeNotReady(err)
 	case errors.Is(err, eelgrassbeam.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		text := string(id)
 		return &genoperator.UnavailableError{Message: err.Error(), ChangeID: &text}
