Add the monitor: heartbeats, terms and the view of the fleet

An entry's term counts from the sending of heartbeats that a quorum of its watchers acknowledged. A change of watchers is a new epoch that the old watchers must know first; a model with lost, late and reordered messages and stalled processes found that a lapsed or never held epoch could still be called failed by its old watchers, so such epochs are handed over too and only held epochs are called failed without a probe.

--- /dev/null
+++ b/assigner/rendezvous.go
@@ -0,0 +1,70 @@
+// Package assigner decides which entry dispatches to a site, and when a new dispatcher may begin.
+package assigner
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// Score is the rendezvous weight of the entry for the key; the highest score wins.
+func Score(key string, id eelgrassbeam.EntryID) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	var length [4]byte
+	binary.LittleEndian.PutUint32(length[:], uint32(len(key)))
+	_, _ = digest.Write(length[:])
+	_, _ = digest.WriteString(key)
+	_, _ = digest.WriteString(string(id))
+	return digest.Sum64()
+}
+
+// Rank returns the entries by falling score for the key; ties go by ID.
+func Rank(key string, entries []eelgrassbeam.Entry) []eelgrassbeam.Entry {
+	type scored struct {
+		entry eelgrassbeam.Entry
+		score uint64
+	}
+	ranked := make([]scored, 0, len(entries))
+	for _, entry := range entries {
+		ranked = append(ranked, scored{entry: entry, score: Score(key, entry.ID)})
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.ID, b.entry.ID))
+	})
+	result := make([]eelgrassbeam.Entry, len(ranked))
+	for i := range ranked {
+		result[i] = ranked[i].entry
+	}
+	return result
+}
+
+// First returns the entry with the highest score for the key; false without entries.
+func First(key string, entries []eelgrassbeam.Entry) (eelgrassbeam.Entry, bool) {
+	if len(entries) == 0 {
+		return eelgrassbeam.Entry{}, false
+	}
+	best, bestScore := entries[0], Score(key, entries[0].ID)
+	for _, entry := range entries[1:] {
+		score := Score(key, entry.ID)
+		if score > bestScore || score == bestScore && entry.ID < best.ID {
+			best, bestScore = entry, score
+		}
+	}
+	return best, true
+}
+
+// Live returns the live entries that the filter keeps; nil keeps all.
+func Live(fleet *eelgrassbeam.Fleet, keep func(eelgrassbeam.Entry) bool) []eelgrassbeam.Entry {
+	var live []eelgrassbeam.Entry
+	for _, entry := range fleet.Entries {
+		if entry.State == eelgrassbeam.InstanceLive && (keep == nil || keep(entry)) {
+			live = append(live, entry)
+		}
+	}
+	return live
+}
--- /dev/null
+++ b/monitor/monitor.go
@@ -0,0 +1,265 @@
+// Package monitor finds out which entries live, from the platform's lagging list and heartbeats between entries, and
+// holds this entry's term.
+package monitor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/assigner"
+	"github.com/eelgrassbeam/eelgrassbeam/peer"
+)
+
+const (
+	// DefaultInterval is the time between heartbeats.
+	DefaultInterval = 500 * time.Millisecond
+	// DefaultTerm is how long an acknowledged heartbeat holds.
+	DefaultTerm = 2 * time.Second
+	// DefaultMargin covers the difference between clocks' rates and the time to act.
+	DefaultMargin = 500 * time.Millisecond
+
+	rosterInterval = 2 * time.Second
+	recordLife     = time.Minute
+	// oldLifeSilences is after how many silences nobody can call a lapsed epoch failed any more.
+	oldLifeSilences = 4
+	// stallIntervals is how many intervals this process may stand still before it forgives silences.
+	stallIntervals = 3
+)
+
+// Config configures a Monitor.
+type Config struct {
+	Self  eelgrassbeam.Entry
+	Store eelgrassbeam.Store
+	// Pool is for control calls only: a connection whose heartbeat timed out is closed.
+	Pool       *peer.Pool
+	Clock      eelgrassbeam.Clock
+	Log        logrus.FieldLogger
+	Registerer prometheus.Registerer
+	// Seeds are peer addresses that are asked for the fleet while the platform is down at start.
+	Seeds []netip.AddrPort
+	// Incarnation is above that of each earlier process of this entry, such as the start time in ns.
+	Incarnation uint64
+	// Interval, Term and Margin are the defaults where zero.
+	Interval, Term, Margin time.Duration
+}
+
+// Monitor implements eelgrassbeam.FleetSource and assigner.Terms.
+type Monitor struct {
+	config  Config
+	metrics metrics
+	fleet   atomic.Pointer[eelgrassbeam.Fleet]
+	held    atomic.Pointer[holding]
+	news    chan struct{}
+
+	// mu guards what follows; no call to a peer or the platform is made under it.
+	mu      sync.Mutex
+	term    *term
+	table   *watchTable
+	view    *view
+	plan    *plan
+	pending News
+	// missing holds since when expected heartbeats of entries without a record are missing.
+	missing  map[eelgrassbeam.EntryID]time.Time
+	lastTick time.Time
+	leaving  bool
+}
+
+// holding is a term that is held.
+type holding struct{ since, until time.Time }
+
+// News are changes of the view that this entry found itself.
+type News struct {
+	States []EntryState `json:"states,omitempty"`
+	Roster *RosterDelta `json:"roster,omitempty"`
+}
+
+// IsEmpty tells whether there is nothing to spread.
+func (n News) IsEmpty() bool { return len(n.States) == 0 && n.Roster == nil }
+
+// New returns a monitor that knows only itself.
+func New(config Config) *Monitor {
+	if config.Interval == 0 {
+		config.Interval = DefaultInterval
+	}
+	if config.Term == 0 {
+		config.Term = DefaultTerm
+	}
+	if config.Margin == 0 {
+		config.Margin = DefaultMargin
+	}
+	config.Self.State = eelgrassbeam.InstanceLive
+	m := &Monitor{
+		config: config, metrics: newMetrics(config.Registerer), news: make(chan struct{}, 1),
+		term:  newTerm(config.Incarnation, config.Term, oldLifeSilences*(config.Term+config.Margin)),
+		table: newWatchTable(config.Self.ID, config.Term+config.Margin),
+		view:  newView(config.Self), missing: make(map[eelgrassbeam.EntryID]time.Time), lastTick: config.Clock.Now(),
+	}
+	m.rebuild()
+	return m
+}
+
+// Fleet implements eelgrassbeam.FleetSource.
+func (m *Monitor) Fleet() *eelgrassbeam.Fleet { return m.fleet.Load() }
+
+// HoldsTerm tells whether this entry may act at the given time of its own clock; ask again before each act. Both the
+// monotonic and the wall clock count, since the first may stand still while the machine is suspended.
+func (m *Monitor) HoldsTerm(now time.Time) bool {
+	held := m.held.Load()
+	return held != nil && now.Before(held.until) && now.Round(0).Before(held.until.Round(0))
+}
+
+// HeldSince returns since when the term is held without a gap; zero where it is not.
+func (m *Monitor) HeldSince() time.Time {
+	held := m.held.Load()
+	if held == nil {
+		return time.Time{}
+	}
+	return held.since
+}
+
+// Leave tells the watchers that this entry stops gracefully; it goes on holding its term until it stops.
+func (m *Monitor) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = true
+	m.announce(EntryState{ID: m.config.Self.ID, Incarnation: m.term.current.incarnation, State: eelgrassbeam.InstanceLeaving})
+}
+
+// Run sends and checks heartbeats and reads the platform's list until the context ends.
+func (m *Monitor) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.every(ctx, m.config.Interval, m.beat) })
+	group.Go(func() error { return m.every(ctx, m.config.Interval/2, m.check) })
+	group.Go(func() error { return m.every(ctx, rosterInterval, m.refresh) })
+	err := group.Wait()
+	m.held.Store(nil)
+	return err
+}
+
+// every runs the step at once and then at each interval.
+func (m *Monitor) every(ctx context.Context, interval time.Duration, step func(context.Context)) error {
+	for {
+		next := m.config.Clock.After(interval)
+		step(ctx)
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// refresh reads the platform's list where this entry is one of the readers, or knows no list yet.
+func (m *Monitor) refresh(ctx context.Context) {
+	isKnown := m.isRosterKnown()
+	if isKnown && !m.isReader() {
+		return
+	}
+	list, err := m.config.Store.Instances(ctx)
+	if err == nil {
+		m.offerRoster(newRoster(list))
+		return
+	}
+	for i := 0; i < len(m.config.Seeds) && !m.isRosterKnown(); i++ {
+		_ = m.Pull(ctx, m.config.Seeds[i])
+	}
+}
+
+func (m *Monitor) isRosterKnown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.known
+}
+
+// isReader tells whether this entry is one of the two of its region that read the platform's list.
+func (m *Monitor) isReader() bool {
+	self := m.config.Self
+	readers := assigner.Rank("readers", assigner.Live(m.Fleet(), func(e eelgrassbeam.Entry) bool { return e.Region == self.Region }))
+	for _, reader := range readers[:min(len(readers), readersPerRegion)] {
+		if reader.ID == self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+const readersPerRegion = 2
+
+// offerRoster takes over a roster that this entry read itself.
+func (m *Monitor) offerRoster(roster *Roster) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delta := m.view.roster.deltaTo(roster)
+	if !m.view.replaceRoster(roster) {
+		return
+	}
+	m.pending.Roster = &delta
+	m.rebuild()
+	m.signal()
+}
+
+// announce takes over states that this entry found itself; the caller holds the mutex.
+func (m *Monitor) announce(states ...EntryState) {
+	fresh := m.view.merge(states, m.config.Clock.Now())
+	if len(fresh) == 0 {
+		return
+	}
+	m.pending.States = append(m.pending.States, fresh...)
+	m.logStates(fresh, "found")
+	m.rebuild()
+	m.signal()
+}
+
+// rebuild publishes a new view; the caller holds the mutex or is New.
+func (m *Monitor) rebuild() {
+	revision := uint64(1)
+	if old := m.fleet.Load(); old != nil {
+		revision = old.Revision + 1
+	}
+	fleet := m.view.fleet(revision)
+	m.fleet.Store(fleet)
+	live := assigner.Live(fleet, func(e eelgrassbeam.Entry) bool { return e.ID != m.config.Self.ID })
+	m.plan = newPlan(append(live, m.config.Self))
+	m.metrics.revision.Set(float64(revision))
+	m.metrics.live.Set(float64(len(live) + 1))
+}
+
+func (m *Monitor) signal() {
+	select {
+	case m.news <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Monitor) logStates(states []EntryState, how string) {
+	for _, state := range states {
+		m.metrics.changes.WithLabelValues(string(state.State)).Inc()
+		m.config.Log.WithFields(logrus.Fields{
+			"event": "entry_state", "entry": string(state.ID), "state": string(state.State),
+			"incarnation": state.Incarnation, "flaps": state.Flaps, "how": how,
+		}).Info("")
+	}
+}
+
+// Register adds the monitor's service to the server between entries.
+func (m *Monitor) Register(registrar grpc.ServiceRegistrar) {
+	registrar.RegisterService(&serviceDesc, m)
+}
+
+// ErrPeer reports that a peer did not answer.
+var ErrPeer = errors.New("peer does not answer")
+
+func peerError(address netip.AddrPort, err error) error {
+	return fmt.Errorf("%w: %s: %w", ErrPeer, address, err)
+}
--- /dev/null
+++ b/monitor/term_test.go
@@ -0,0 +1,223 @@
+package monitor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+const (
+	step       = 250 * time.Millisecond
+	modelSteps = 120
+)
+
+// model runs one entry and its watchers over a network that delays, loses and reorders, with processes that stand still.
+type model struct {
+	*rapid.T
+	now    time.Time
+	term   *term
+	tables map[eelgrassbeam.EntryID]*watchTable
+	ids    []eelgrassbeam.EntryID
+	want   []eelgrassbeam.EntryID
+	frozen map[eelgrassbeam.EntryID]time.Time
+	// cutTo is until when messages to an entry are lost.
+	cutTo    map[eelgrassbeam.EntryID]time.Time
+	inFlight []delivery
+	declared []time.Time
+}
+
+type delivery struct {
+	at  time.Time
+	to  eelgrassbeam.EntryID
+	run func()
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		T: t, now: time.Unix(0, 0), term: newTerm(10, DefaultTerm, oldLifeSilences*(DefaultTerm+DefaultMargin)), ids: []eelgrassbeam.EntryID{"a", "b", "c", "d"},
+		tables: map[eelgrassbeam.EntryID]*watchTable{}, frozen: map[eelgrassbeam.EntryID]time.Time{},
+		cutTo: map[eelgrassbeam.EntryID]time.Time{},
+	}
+	for _, id := range m.ids {
+		m.tables[id] = newWatchTable(id, DefaultTerm+DefaultMargin)
+	}
+	m.want = m.ids[:3]
+	return m
+}
+
+func (m *model) chance(percent int, what string) bool {
+	return rapid.IntRange(1, 100).Draw(m.T, what) <= percent
+}
+
+func (m *model) isFrozen(id eelgrassbeam.EntryID) bool { return m.now.Before(m.frozen[id]) }
+
+func (m *model) post(to eelgrassbeam.EntryID, delays []int, run func()) {
+	if m.now.Before(m.cutTo[to]) || m.chance(8, "lost") {
+		return
+	}
+	delay := time.Duration(rapid.SampledFrom(delays).Draw(m.T, "delay")) * step
+	m.inFlight = append(m.inFlight, delivery{at: m.now.Add(delay), to: to, run: run})
+}
+
+func (m *model) deliver() {
+	waiting := m.inFlight
+	m.inFlight = nil
+	for _, message := range waiting {
+		if m.now.Before(message.at) || m.isFrozen(message.to) {
+			m.inFlight = append(m.inFlight, message)
+			continue
+		}
+		message.run()
+	}
+}
+
+func (m *model) beat() {
+	if m.isFrozen("s") {
+		return
+	}
+	if m.chance(8, "change") {
+		m.want = [][]eelgrassbeam.EntryID{m.ids[:3], m.ids[1:], m.ids[:2], m.ids[3:]}[rapid.IntRange(0, 3).Draw(m.T, "want")]
+	}
+	m.term.tick(m.now, m.want, false)
+	for _, to := range m.term.targets() {
+		message, sent := m.term.heartbeat("s", to), m.now
+		m.post(to, []int{0, 0, 0, 0, 0, 1, 9}, func() {
+			reply := m.tables[to].heartbeat(message, m.now)
+			m.post("s", []int{0, 0, 1, 5, 7}, func() {
+				if reply.Result == ackOK {
+					m.term.acknowledge(m.now, to, message.Incarnation, sent)
+				} else {
+					m.term.refuse(to, message.Incarnation, reply)
+				}
+			})
+		})
+	}
+}
+
+func (m *model) check() {
+	for _, id := range m.ids {
+		if m.isFrozen(id) {
+			continue
+		}
+		for _, found := range m.tables[id].silent(m.now) {
+			if !found.held {
+				continue
+			}
+			votes := 0
+			for _, other := range found.watchers {
+				if other == id || !m.isFrozen(other) && !m.chance(20, "vote lost") && m.tables[other].promise(found.id, found.incarnation, m.now) {
+					votes++
+				}
+			}
+			if votes >= found.quorum() && m.tables[id].promise(found.id, found.incarnation, m.now) {
+				m.declared = append(m.declared, m.now)
+			}
+		}
+	}
+}
+
+// fault returns the first overlap of a failure that was called and a term held across it.
+func (m *model) fault() error {
+	holds := m.term.held && m.now.Before(m.term.until)
+	for _, at := range m.declared {
+		if holds && m.term.since.Before(at) {
+			return fmt.Errorf("called failed at %v, held from %v to %v", at.Unix(), m.term.since.Unix(), m.term.until.Unix())
+		}
+	}
+	return nil
+}
+
+func (m *model) disturb(until map[eelgrassbeam.EntryID]time.Time, what string) {
+	if !m.chance(6, what) {
+		return
+	}
+	groups := [][]eelgrassbeam.EntryID{{"s"}, {"a"}, {"b"}, {"c"}, {"d"}, m.ids}
+	end := m.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(m.T, "for")) * step)
+	for _, id := range rapid.SampledFrom(groups).Draw(m.T, "ids") {
+		until[id] = end
+	}
+}
+
+func (m *model) run() error {
+	for range modelSteps {
+		m.now = m.now.Add(step)
+		m.disturb(m.frozen, "freeze")
+		m.disturb(m.cutTo, "cut")
+		m.deliver()
+		m.beat()
+		m.check()
+		if err := m.fault(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestNoTermAcrossFailure(t *testing.T) {
+	guards := map[string]func(m *model){
+		"failure called within the term": func(m *model) {
+			for _, table := range m.tables {
+				table.silence = DefaultTerm / 2
+			}
+		},
+		"watchers never told": func(m *model) { m.term.skipsHandover = true },
+	}
+	t.Run("guards on", func(t *testing.T) {
+		held, declared := 0, 0
+		rapid.Check(t, func(t *rapid.T) {
+			m := newModel(t)
+			if err := m.run(); err != nil {
+				t.Fatal(err)
+			}
+			declared += len(m.declared)
+			if m.term.held {
+				held++
+			}
+		})
+		is := is.New(t)
+		is.True(held > 0)     // terms are held in the model
+		is.True(declared > 0) // failures are called in the model
+	})
+	for name, off := range guards {
+		t.Run(name, func(t *testing.T) {
+			faults := 0
+			rapid.Check(t, func(t *rapid.T) {
+				m := newModel(t)
+				off(m)
+				if m.run() != nil {
+					faults++
+				}
+			})
+			is.New(t).True(faults > 0) // with the guard off a term outlives the failure
+		})
+	}
+}
+
+// TestLateAcknowledgement lets acknowledgements come late and everything after them be lost.
+func TestLateAcknowledgement(t *testing.T) {
+	for name, fromReceipt := range map[string]bool{"guard on": false, "guard off": true} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(0, 0)
+			term := newTerm(10, DefaultTerm, time.Minute)
+			term.fromReceipt = fromReceipt
+			table := newWatchTable("a", DefaultTerm+DefaultMargin)
+			term.tick(start, []eelgrassbeam.EntryID{"a"}, false)
+			sent := start
+			for range 2 { // the second heartbeat tells that the term is held
+				reply := table.heartbeat(term.heartbeat("s", "a"), sent)
+				is.New(t).Equal(reply.Result, ackOK)
+				term.acknowledge(sent.Add(1900*time.Millisecond), "a", term.current.incarnation, sent)
+				sent = sent.Add(1900 * time.Millisecond)
+			}
+			called := start.Add(1900*time.Millisecond + DefaultTerm + DefaultMargin + time.Millisecond)
+			is := is.New(t)
+			is.Equal(len(table.silent(called)), 1)
+			is.Equal(called.Before(term.until), fromReceipt) // held past the call only with the guard off
+		})
+	}
+}
--- /dev/null
+++ b/monitor/view.go
@@ -0,0 +1,117 @@
+package monitor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// view is what this entry believes about the fleet: the roster and the agreed states of entries.
+type view struct {
+	self   eelgrassbeam.Entry
+	roster *Roster
+	// known tells that a roster has been read or pulled.
+	known  bool
+	states map[eelgrassbeam.EntryID]EntryState
+	// changed holds when each state was last changed here.
+	changed map[eelgrassbeam.EntryID]time.Time
+}
+
+// Digest sums up a view in a few bytes.
+type Digest struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Roster   uint64
+	States   uint64
+}
+
+func newView(self eelgrassbeam.Entry) *view {
+	return &view{
+		self: self, roster: newRoster(eelgrassbeam.InstanceList{}),
+		states: make(map[eelgrassbeam.EntryID]EntryState), changed: make(map[eelgrassbeam.EntryID]time.Time),
+	}
+}
+
+// merge takes over the states that supersede those known and returns them.
+func (v *view) merge(states []EntryState, now time.Time) []EntryState {
+	var fresh []EntryState
+	for _, state := range states {
+		known, ok := v.states[state.ID]
+		if state.Validate() != nil || ok && !state.Supersedes(known) {
+			continue
+		}
+		v.states[state.ID], v.changed[state.ID] = state, now
+		fresh = append(fresh, state)
+	}
+	return fresh
+}
+
+// replaceRoster takes over the roster if it supersedes the one known, tells whether that changes the contents, and drops the states of entries that it no longer lists.
+func (v *view) replaceRoster(roster *Roster) bool {
+	if v.known && !roster.supersedes(v.roster) {
+		return false
+	}
+	isChanged := !v.known || roster.Digest != v.roster.Digest
+	v.known = true
+	v.roster = roster
+	for id := range v.states {
+		if _, ok := roster.rows[string(id)]; !ok && id != v.self.ID {
+			delete(v.states, id)
+			delete(v.changed, id)
+		}
+	}
+	return isChanged
+}
+
+// digest covers the states of listed entries only, so that views of one roster can become equal.
+func (v *view) digest() Digest {
+	digest := Digest{Revision: v.roster.Revision, Roster: v.roster.Digest}
+	for _, state := range v.listedStates() {
+		digest.States ^= digestState(state)
+	}
+	return digest
+}
+
+func (v *view) listedStates() []EntryState {
+	var listed []EntryState
+	for id, state := range v.states {
+		if _, ok := v.roster.rows[string(id)]; ok {
+			listed = append(listed, state)
+		}
+	}
+	slices.SortFunc(listed, func(a, b EntryState) int { return compare(a.ID, b.ID) })
+	return listed
+}
+
+// fleet builds the immutable view; the entry itself is in it even before the platform lists it.
+func (v *view) fleet(revision uint64) *eelgrassbeam.Fleet {
+	fleet := eelgrassbeam.NewFleet(v.roster.list())
+	fleet.Revision = revision
+	if _, ok := fleet.Entry(v.self.ID); !ok {
+		i, _ := slices.BinarySearchFunc(fleet.Entries, v.self.ID, func(e eelgrassbeam.Entry, id eelgrassbeam.EntryID) int { return compare(e.ID, id) })
+		fleet.Entries = slices.Insert(fleet.Entries, i, v.self)
+	}
+	for i, entry := range fleet.Entries {
+		state, ok := v.states[entry.ID]
+		if ok && stateOrder(state.State) > stateOrder(entry.State) {
+			fleet.Entries[i].State = state.State
+		}
+	}
+	return fleet
+}
+
+func digestState(state EntryState) uint64 {
+	digest := xxhash.New()
+	writeText(digest, string(state.ID))
+	writeText(digest, string(state.State))
+	var numbers [9]byte
+	for i := range 8 {
+		numbers[i] = byte(state.Incarnation >> (8 * i))
+	}
+	numbers[8] = state.Flaps
+	_, _ = digest.Write(numbers[:])
+	return digest.Sum64()
+}
--- a/storefake/state.go
+++ b/storefake/state.go
@@ -48,3 +48,6 @@
 	s.changed = make(chan struct{})
 	return next
 }
+
+// Touch raises the revision; call it under Set after a change of Rows.
+func (s *Store) Touch() { s.revision++ }
