Add the homes of idempotency keys

A repeated key has to get the recorded answer, and its request must not run again when the home entry is lost, restarted, cut off or doubted. Homes write claims to the platform before a request runs, the claims of all keys that arrive together as one object, and then read the bucket up to their own object. The platform's versions order all claims, so of several homes at most one sees no earlier claim.

Ruled out: one object a key (a write each), one object a bucket under conditional update (rewrites the whole bucket at each commit and conflicts between regions), a lease a bucket (its holder may be paused; a takeover waits for its end and renewals cost writes), and running new keys without a claim: the test shows two runs when the home is cut off and the key is repeated elsewhere, so this is off unless RunUnclaimed is set.

Before: with the look at other homes' claims turned off both homes run the same key; after: one. A test with lost answers and outages over three homes sees no key run twice.

--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,298 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/storefake"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type fleet struct{ view *eelgrassbeam.Fleet }
+
+func (f fleet) Fleet() *eelgrassbeam.Fleet { return f.view }
+
+func entry(id eelgrassbeam.EntryID, region eelgrassbeam.RegionID) eelgrassbeam.Entry {
+	return eelgrassbeam.Entry{ID: id, Region: region, State: eelgrassbeam.InstanceLive}
+}
+
+// start runs a keeper that is alone in its region.
+func start(t *testing.T, store eelgrassbeam.Store, id eelgrassbeam.EntryID, change func(*Keeper)) *Keeper {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	self := entry(id, eelgrassbeam.RegionID("region-"+id))
+	k := New(Config{
+		Self: self, Incarnation: 1, Store: store, Clock: clockwork.NewRealClock(), Log: log, WritesPerSecond: 1000,
+		Fleet: fleet{&eelgrassbeam.Fleet{Entries: []eelgrassbeam.Entry{self}}},
+	})
+	if change != nil {
+		change(k)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return k
+}
+
+// ledger counts the runs of each key.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[eelgrassbeam.IdempotencyKey]int
+}
+
+func (l *ledger) count(key eelgrassbeam.IdempotencyKey) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[key]
+}
+
+// do sends the request through the keeper; a run ends with the outcome.
+func (l *ledger) do(t *testing.T, k *Keeper, request eelgrassbeam.Request, outcome eelgrassbeam.Outcome) eelgrassbeam.Reply {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	reply, _ := k.Do(ctx, request, func(context.Context) (eelgrassbeam.Reply, error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.runs == nil {
+			l.runs = make(map[eelgrassbeam.IdempotencyKey]int)
+		}
+		l.runs[request.IdempotencyKey]++
+		return eelgrassbeam.Reply{
+			RequestID: request.ID, Outcome: outcome, Status: 201, Body: []byte("held"),
+			Header: http.Header{headerRequestID: {string(request.ID)}},
+		}, nil
+	})
+	return reply
+}
+
+func keyed(id, key, body string) eelgrassbeam.Request {
+	return eelgrassbeam.Request{
+		ID: eelgrassbeam.RequestID(id), Service: "events", IdempotencyKey: eelgrassbeam.IdempotencyKey(key),
+		Method: http.MethodPost, Host: "events.example", Target: "/deposits", Body: []byte(body),
+	}
+}
+
+func assertReply(t *testing.T, reply eelgrassbeam.Reply, outcome eelgrassbeam.Outcome, reason eelgrassbeam.Reason) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	is.Equal(reply.Outcome, outcome)
+	is.Equal(reply.Reason, reason)
+}
+
+func TestRepeat(t *testing.T) {
+	var l ledger
+	k := start(t, storefake.New(), "a", nil)
+	t.Run("gets the recorded answer as its own", func(t *testing.T) {
+		is := is.New(t)
+		assertReply(t, l.do(t, k, keyed("r1", "k1", "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+		reply := l.do(t, k, keyed("r2", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+		assertReply(t, reply, eelgrassbeam.OutcomeAnswered, "")
+		is.Equal(reply.RequestID, eelgrassbeam.RequestID("r2"))
+		is.Equal(reply.Header.Get(headerRequestID), "r2")
+		is.Equal(reply.Header.Get(HeaderReplayed), "true")
+		is.Equal(l.count("k1"), 1)
+	})
+	t.Run("of another request is refused", func(t *testing.T) {
+		reply := l.do(t, k, keyed("r3", "k1", "other"), eelgrassbeam.OutcomeAnswered)
+		assertReply(t, reply, eelgrassbeam.OutcomeNotRun, eelgrassbeam.ReasonKeyReused)
+	})
+	t.Run("of another customer is another key", func(t *testing.T) {
+		request := keyed("r4", "k1", "x")
+		request.Customer = "other"
+		assertReply(t, l.do(t, k, request, eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+	})
+	t.Run("never runs after an unknown outcome", func(t *testing.T) {
+		_ = l.do(t, k, keyed("r5", "k2", "x"), eelgrassbeam.OutcomeUnknown)
+		reply := l.do(t, k, keyed("r6", "k2", "x"), eelgrassbeam.OutcomeAnswered)
+		assertReply(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonKeyUnknown)
+		is.New(t).Equal(l.count("k2"), 1)
+	})
+	t.Run("runs after one that was not run", func(t *testing.T) {
+		_ = l.do(t, k, keyed("r7", "k3", "x"), eelgrassbeam.OutcomeNotRun)
+		assertReply(t, l.do(t, k, keyed("r8", "k3", "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+	})
+	t.Run("is refused while the first runs", func(t *testing.T) {
+		entered, leave := make(chan struct{}), make(chan struct{})
+		var group sync.WaitGroup
+		group.Go(func() {
+			_, _ = k.Do(context.Background(), keyed("r9", "k4", "x"), func(context.Context) (eelgrassbeam.Reply, error) {
+				close(entered)
+				<-leave
+				return eelgrassbeam.Reply{Outcome: eelgrassbeam.OutcomeAnswered}, nil
+			})
+		})
+		<-entered
+		reply := l.do(t, k, keyed("r10", "k4", "x"), eelgrassbeam.OutcomeAnswered)
+		close(leave)
+		group.Wait()
+		assertReply(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonInProgress)
+	})
+}
+
+func TestHomesRace(t *testing.T) {
+	race := func(t *testing.T, trustWrites bool) (most int) {
+		var l ledger
+		store := storefake.New()
+		trust := func(k *Keeper) { k.trustWrites = trustWrites }
+		a, b := start(t, store, "a", trust), start(t, store, "b", trust)
+		for i := range 50 {
+			key := fmt.Sprintf("k%d", i)
+			var group sync.WaitGroup
+			for _, k := range []*Keeper{a, b} {
+				group.Go(func() { _ = l.do(t, k, keyed("r", key, "x"), eelgrassbeam.OutcomeAnswered) })
+			}
+			group.Wait()
+			most = max(most, l.count(eelgrassbeam.IdempotencyKey(key)))
+		}
+		return most
+	}
+	t.Run("one runs", func(t *testing.T) { is.New(t).Equal(race(t, false), 1) })
+	t.Run("both run with the guard off", func(t *testing.T) { is.New(t).Equal(race(t, true), 2) })
+}
+
+func TestHomeLost(t *testing.T) {
+	var l ledger
+	store := storefake.New()
+	_ = l.do(t, start(t, store, "a", nil), keyed("r1", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+	b := start(t, store, "b", nil)
+	t.Run("claimed key never runs again", func(t *testing.T) {
+		for range 2 {
+			reply := l.do(t, b, keyed("r2", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+			assertReply(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonKeyUnknown)
+		}
+		is.New(t).Equal(l.count("k1"), 1)
+	})
+	t.Run("another request under the key is refused", func(t *testing.T) {
+		reply := l.do(t, start(t, store, "c", nil), keyed("r3", "k1", "other"), eelgrassbeam.OutcomeAnswered)
+		assertReply(t, reply, eelgrassbeam.OutcomeNotRun, eelgrassbeam.ReasonKeyReused)
+	})
+	t.Run("an earlier run of the same entry counts as another home", func(t *testing.T) {
+		a := start(t, store, "a", func(k *Keeper) {
+			for _, c := range k.committers {
+				c.view.incarnation = 2
+			}
+			k.config.Incarnation = 2
+		})
+		reply := l.do(t, a, keyed("r4", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+		assertReply(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonKeyUnknown)
+	})
+	t.Run("new key runs", func(t *testing.T) {
+		assertReply(t, l.do(t, b, keyed("r5", "k2", "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+	})
+	t.Run("unreadable claims bar new keys", func(t *testing.T) {
+		_, err := store.Create(t.Context(), b.committers[bucketOf("k9")].view.kind, "bad", []byte(`{"home":"z","checksum":1}`))
+		is.New(t).NoErr(err)
+		reply := l.do(t, b, keyed("r6", "k9", "x"), eelgrassbeam.OutcomeAnswered)
+		assertReply(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonKeyUnknown)
+	})
+}
+
+func TestPlatformDown(t *testing.T) {
+	setDown := func(store *storefake.Store, down bool) { store.Set(func(s *storefake.Store) { s.Down = down }) }
+	// outage sends a key to a home that is cut off from the platform, and once more to another home.
+	outage := func(t *testing.T, runUnclaimed bool) (eelgrassbeam.Reply, int) {
+		var l ledger
+		cut := storefake.New()
+		setDown(cut, true)
+		a := start(t, cut, "a", func(k *Keeper) {
+			k.config.RunUnclaimed = runUnclaimed
+			for bucket := range k.held {
+				k.held[bucket] = holding{since: time.Now().Add(-time.Hour), noted: time.Now()}
+			}
+		})
+		reply := l.do(t, a, keyed("r1", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+		_ = l.do(t, start(t, storefake.New(), "b", nil), keyed("r2", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+		return reply, l.count("k1")
+	}
+	t.Run("refuses new keys", func(t *testing.T) {
+		reply, runs := outage(t, false)
+		assertReply(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonKeyUnknown)
+		is.New(t).Equal(runs, 1) // the other home's
+	})
+	t.Run("runs twice with unclaimed runs allowed", func(t *testing.T) {
+		reply, runs := outage(t, true)
+		assertReply(t, reply, eelgrassbeam.OutcomeAnswered, "")
+		is.New(t).Equal(runs, 2)
+	})
+	t.Run("replays recorded answers", func(t *testing.T) {
+		var l ledger
+		store := storefake.New()
+		k := start(t, store, "a", nil)
+		_ = l.do(t, k, keyed("r1", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+		setDown(store, true)
+		assertReply(t, l.do(t, k, keyed("r2", "k1", "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+	})
+	t.Run("lost answers to writes do not lose the claim", func(t *testing.T) {
+		var l ledger
+		store := storefake.New()
+		store.Lose = func(operation string) bool { return operation == "create" }
+		k := start(t, store, "a", nil)
+		assertReply(t, l.do(t, k, keyed("r1", "k1", "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+	})
+}
+
+// TestAtMostOnce repeats keys at homes in three regions while the platform fails and loses answers.
+func TestAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	var l ledger
+	store := storefake.New()
+	random := rand.New(rand.NewPCG(1, 1))
+	store.Lose = func(string) bool { return random.IntN(5) == 0 }
+	homes := []*Keeper{start(t, store, "a", nil), start(t, store, "b", nil), start(t, store, "c", nil)}
+	answered := 0
+	for round := range 60 {
+		store.Set(func(s *storefake.Store) { s.Down = round%10 == 9 })
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		for i, k := range homes {
+			group.Go(func() {
+				reply := l.do(t, k, keyed(fmt.Sprintf("r%d-%d", round, i), fmt.Sprintf("k%d", round/2), "x"), eelgrassbeam.OutcomeAnswered)
+				mu.Lock()
+				defer mu.Unlock()
+				if reply.Outcome == eelgrassbeam.OutcomeAnswered {
+					answered++
+				}
+			})
+		}
+		group.Wait()
+	}
+	for key, runs := range l.runs {
+		if runs > 1 {
+			t.Errorf("%s ran %d times", key, runs)
+		}
+	}
+	is.True(answered > 0)
+}
+
+func TestGroupCommit(t *testing.T) {
+	is := is.New(t)
+	var l ledger
+	store := storefake.New()
+	k := start(t, store, "a", func(k *Keeper) { k.limiter.SetBurst(1); k.limiter.SetLimit(20) })
+	var group sync.WaitGroup
+	for i := range 400 {
+		group.Go(func() { _ = l.do(t, k, keyed("r", fmt.Sprintf("k%d", i), "x"), eelgrassbeam.OutcomeAnswered) })
+	}
+	group.Wait()
+	writes := 0
+	store.Set(func(s *storefake.Store) { writes = s.Calls["create"] })
+	is.Equal(len(l.runs), 400)
+	is.True(writes <= 2*Buckets) // one object a bucket, and one for late arrivals
+}
--- /dev/null
+++ b/keeper/view.go
@@ -0,0 +1,172 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// seen is one object of claims as the platform showed it.
+type seen struct {
+	object   eelgrassbeam.Object // without its value
+	claims   []Claim             // of other homes and other runs only
+	expired  bool
+	observed time.Time
+}
+
+// foreign is a claim of another home or another run of this one.
+type foreign struct {
+	from        *seen
+	fingerprint uint64
+}
+
+// view is one bucket's claims up to a revision of the platform. One worker uses it.
+type view struct {
+	store       eelgrassbeam.Store
+	clock       eelgrassbeam.Clock
+	kind        string
+	home        eelgrassbeam.EntryID
+	incarnation uint64
+
+	complete bool
+	revision uint64
+	objects  map[string]*seen
+	opaque   map[string]*seen
+	claims   map[uint64][]foreign
+}
+
+// catchUp reads until the own object shows; then all claims before it are known.
+func (v *view) catchUp(ctx context.Context, own eelgrassbeam.Object) error {
+	if v.complete {
+		if err := v.readEvents(ctx); err == nil && v.shows(own) {
+			return nil
+		}
+	}
+	if err := v.readAll(ctx); err != nil {
+		return err
+	}
+	if !v.shows(own) {
+		return fmt.Errorf("%w: own claim %s does not show", ErrUnclaimed, own.Name)
+	}
+	return nil
+}
+
+func (v *view) shows(own eelgrassbeam.Object) bool {
+	found, ok := v.objects[own.Name]
+	return ok && found.object.Version == own.Version
+}
+
+func (v *view) readEvents(ctx context.Context) error {
+	events, err := v.store.Watch(ctx, v.kind, v.revision, 0)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnclaimed, err)
+	}
+	for _, event := range events.Events {
+		v.remove(event.Object.Name)
+		if !event.Deleted {
+			v.add(event.Object)
+		}
+	}
+	v.revision = max(v.revision, events.Revision)
+	return nil
+}
+
+func (v *view) readAll(ctx context.Context) error {
+	list, err := v.store.List(ctx, v.kind)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnclaimed, err)
+	}
+	listed := make(map[string]bool, len(list.Objects))
+	for _, object := range list.Objects {
+		listed[object.Name] = true
+		if found, ok := v.objects[object.Name]; ok && found.object.Version == object.Version {
+			continue
+		}
+		v.remove(object.Name)
+		v.add(object)
+	}
+	for name := range v.objects {
+		if !listed[name] {
+			v.remove(name)
+		}
+	}
+	v.complete, v.revision = true, list.Revision
+	return nil
+}
+
+func (v *view) add(object eelgrassbeam.Object) {
+	var decoded Claims
+	added := &seen{observed: v.clock.Now()}
+	if err := json.Unmarshal(object.Value, &decoded); err != nil {
+		v.opaque[object.Name] = added
+	}
+	object.Value = nil
+	added.object = object
+	v.objects[object.Name] = added
+	if decoded.Home == v.home && decoded.Incarnation == v.incarnation {
+		return
+	}
+	added.claims = decoded.Claims
+	for _, claim := range decoded.Claims {
+		v.claims[claim.Key] = append(v.claims[claim.Key], foreign{from: added, fingerprint: claim.Fingerprint})
+	}
+}
+
+func (v *view) remove(name string) {
+	if found, ok := v.objects[name]; ok {
+		v.dropClaims(found)
+		delete(v.objects, name)
+		delete(v.opaque, name)
+	}
+}
+
+func (v *view) dropClaims(found *seen) {
+	for _, claim := range found.claims {
+		kept := v.claims[claim.Key][:0]
+		for _, other := range v.claims[claim.Key] {
+			if other.from != found {
+				kept = append(kept, other)
+			}
+		}
+		v.claims[claim.Key] = kept
+		if len(kept) == 0 {
+			delete(v.claims, claim.Key)
+		}
+	}
+	found.claims = nil
+}
+
+// expire drops claims that were first seen longer ago than the duration.
+func (v *view) expire(keep time.Duration) {
+	now := v.clock.Now()
+	for _, found := range v.objects {
+		if !found.expired && now.Sub(found.observed) > keep {
+			v.dropClaims(found)
+			found.expired = true
+		}
+	}
+}
+
+// check returns an error if another home claimed the key before the version. A
+// claim for the same request counts more than one for another request.
+func (v *view) check(claim Claim, version uint64) error {
+	var reused error
+	for _, other := range v.claims[claim.Key] {
+		switch {
+		case other.from.object.Version >= version:
+		case other.fingerprint == claim.Fingerprint:
+			return ErrClaimed
+		default:
+			reused = ErrReused
+		}
+	}
+	for _, found := range v.opaque {
+		if !found.expired && found.object.Version < version {
+			return fmt.Errorf("%w: object %s is unreadable", ErrClaimed, found.object.Name)
+		}
+	}
+	return reused
+}
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -31,13 +31,3 @@
 	id eelgrassbeam.RequestID
 	at time.Duration
 }
-
-func replyBytes(reply eelgrassbeam.Reply) int64 {
-	total := len(reply.Body)
-	for name, values := range reply.Header {
-		for _, value := range values {
-			total += len(name) + len(value)
-		}
-	}
-	return int64(total)
-}
--- a/recorder/window.go
+++ b/recorder/window.go
@@ -12,7 +12,7 @@
 
 // keep stores the reply and drops the oldest ones above the bound. The caller holds the lock.
 func (r *Recorder) keep(id eelgrassbeam.RequestID, found *record, reply eelgrassbeam.Reply) {
-	found.reply, found.bytes = &reply, replyBytes(reply)
+	found.reply, found.bytes = &reply, reply.Size()
 	if found.bytes == 0 {
 		return
 	}
--- a/request.go
+++ b/request.go
@@ -169,6 +169,17 @@
 	return r
 }
 
+// Size returns the bytes of header and body.
+func (r Reply) Size() int64 {
+	total := len(r.Body)
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(value)
+		}
+	}
+	return int64(total)
+}
+
 // Validate checks that the reply answers the request.
 func (r Reply) Validate(id RequestID) error {
 	if r.RequestID != id {
