Name the changer's call for a given change ChangeAs

Cause: the operators' applier expects that name and the change as an argument. Before: Put, which took it from the set. After: ChangeAs; go test ./changer ./operator passes. Conclusion: the applier takes the changer as it is.

--- a/changer/changer.go
+++ b/changer/changer.go
@@ -78,22 +78,19 @@
 }
 
 // Change stores what mutate makes of the stored configuration under a new change id and returns it as stored.
-// Errors are those of Put.
+// Errors are those of ChangeAs.
 func (c *Changer) Change(
 	ctx context.Context, mutate func(eelgrassbeam.Configuration) (eelgrassbeam.Configuration, error), author, note string,
 ) (eelgrassbeam.Configuration, error) {
 	change := eelgrassbeam.Change{ID: eelgrassbeam.ChangeID(uuid.NewString()), Author: author, At: c.config.Clock.Now().UTC(), Note: note}
-	return c.Put(ctx, func(base eelgrassbeam.Configuration) (eelgrassbeam.Configuration, error) {
-		next, err := mutate(base)
-		return next.WithChange(change), err
-	})
+	return c.ChangeAs(ctx, mutate, change)
 }
 
-// Put stores what mutate makes of the stored configuration, under the change that it names, and returns it as stored.
+// ChangeAs stores what mutate makes of the stored configuration under the change and returns it as stored.
 // Mutate gets the zero Configuration before there is one. Errors: ConflictError where another change came first,
 // ErrOutcomeUnknown where the context ended before the outcome was known; after any other error nothing is stored.
-func (c *Changer) Put(
-	ctx context.Context, mutate func(eelgrassbeam.Configuration) (eelgrassbeam.Configuration, error),
+func (c *Changer) ChangeAs(
+	ctx context.Context, mutate func(eelgrassbeam.Configuration) (eelgrassbeam.Configuration, error), change eelgrassbeam.Change,
 ) (eelgrassbeam.Configuration, error) {
 	base, err := c.Read(ctx)
 	if err != nil && !errors.Is(err, eelgrassbeam.ErrNotFound) {
@@ -103,9 +100,9 @@
 	if err != nil {
 		return eelgrassbeam.Configuration{}, err
 	}
-	next = next.WithVersion(base.Version).WithRecentChanges(pushChange(base))
+	next = next.WithVersion(base.Version).WithChange(change).WithRecentChanges(pushChange(base))
 	stored, err := c.store(ctx, base, next)
-	c.logResult(stored, next.Change, err)
+	c.logResult(stored, change, err)
 	return stored, err
 }
 
