Add the assigner: one dispatcher a site

A new owner waits for the handover or until the earlier owners' terms have run out. The model over views that come at different times found that a failed owner alone does not allow an early start, since another may have followed it unseen; it now takes a region without leaving or vanished entries.

--- /dev/null
+++ b/assigner/metrics.go
@@ -0,0 +1,23 @@
+package assigner
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+type metrics struct {
+	owned     prometheus.Gauge
+	handovers *prometheus.CounterVec
+}
+
+func newMetrics(registerer prometheus.Registerer) metrics {
+	factory := promauto.With(registerer)
+	return metrics{
+		owned: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "eelgrassbeam_assigner_owned_sites", Help: "Sites whose dispatcher this entry is.",
+		}),
+		handovers: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "eelgrassbeam_assigner_handovers_total", Help: "Handovers sent by result.",
+		}, []string{"result"}),
+	}
+}
--- a/monitor/view.go
+++ b/monitor/view.go
@@ -14,8 +14,10 @@
 	self   eelgrassbeam.Entry
 	roster *Roster
 	// known tells that a roster has been read or pulled.
-	known  bool
-	states map[eelgrassbeam.EntryID]EntryState
+	known bool
+	// isListed tells that the platform has listed this entry once; it leaves when it is listed no more.
+	isListed bool
+	states   map[eelgrassbeam.EntryID]EntryState
 	// changed holds when each state was last changed here.
 	changed map[eelgrassbeam.EntryID]time.Time
 }
@@ -56,6 +58,8 @@
 	}
 	isChanged := !v.known || roster.Digest != v.roster.Digest
 	v.known = true
+	_, ok := roster.rows[string(v.self.ID)]
+	v.isListed = v.isListed || ok
 	v.roster = roster
 	for id := range v.states {
 		if _, ok := roster.rows[string(id)]; !ok && id != v.self.ID {
@@ -93,6 +97,9 @@
 	if _, ok := fleet.Entry(v.self.ID); !ok {
 		i, _ := slices.BinarySearchFunc(fleet.Entries, v.self.ID, func(e eelgrassbeam.Entry, id eelgrassbeam.EntryID) int { return compare(e.ID, id) })
 		fleet.Entries = slices.Insert(fleet.Entries, i, v.self)
+		if v.isListed {
+			fleet.Entries[i].State = eelgrassbeam.InstanceLeaving
+		}
 	}
 	for i, entry := range fleet.Entries {
 		state, ok := v.states[entry.ID]
