Bring requests with a key to their homes

A reply from a home can be lost like any other. Since the home never runs a key twice, the router asks again under the same key until the deadline, and gets the recorded answer once the first run has ended. The test loses replies after the request has run and sees one run and the answer.

--- /dev/null
+++ b/keeper/remote.go
@@ -0,0 +1,62 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+
+	"google.golang.org/grpc"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/peer"
+)
+
+const keyService = "eelgrassbeam.key"
+
+// Receiver is the side of a home that other entries call.
+type Receiver interface {
+	Do(ctx context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error)
+}
+
+// Register lets other entries call the receiver.
+func Register(server grpc.ServiceRegistrar, receiver Receiver) {
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: keyService,
+		HandlerType: (*Receiver)(nil),
+		Methods: []grpc.MethodDesc{peer.Unary(keyService, "Do",
+			func(r Receiver, ctx context.Context, request *eelgrassbeam.Request) (*eelgrassbeam.Reply, error) {
+				return handleDo(ctx, r, request)
+			})},
+	}, receiver)
+}
+
+// handleDo goes on when the caller goes away, so that the home records how the request ended.
+func handleDo(ctx context.Context, r Receiver, request *eelgrassbeam.Request) (*eelgrassbeam.Reply, error) {
+	if request.IdempotencyKey == "" || request.ID == "" || request.TimeLeft.Duration <= 0 {
+		return nil, fmt.Errorf("%w: request %q without key, id or time left", eelgrassbeam.ErrInvalid, request.ID)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), request.TimeLeft.Duration)
+	defer cancel()
+	reply, err := r.Do(ctx, *request)
+	return &reply, err
+}
+
+// Peers is the Remote that calls other entries over gRPC.
+type Peers struct{ pool *peer.Pool }
+
+// NewPeers returns a Remote over the pool.
+func NewPeers(pool *peer.Pool) *Peers { return &Peers{pool: pool} }
+
+// Do implements Remote.
+func (p *Peers) Do(ctx context.Context, home eelgrassbeam.Entry, request eelgrassbeam.Request) (eelgrassbeam.Reply, error) {
+	conn, err := p.pool.Conn(home.PeerAddress)
+	if err != nil {
+		return eelgrassbeam.Reply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, request.TimeLeft.Duration)
+	defer cancel()
+	reply, err := peer.Call[eelgrassbeam.Reply](ctx, conn, keyService, "Do", &request)
+	if err != nil {
+		return eelgrassbeam.Reply{}, fmt.Errorf("do at %s: %w", home.ID, err)
+	}
+	return *reply, nil
+}
--- /dev/null
+++ b/keeper/router_test.go
@@ -0,0 +1,96 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/peer"
+	"github.com/eelgrassbeam/eelgrassbeam/storefake"
+)
+
+// lossy is a home whose first replies are lost after the request has run.
+type lossy struct {
+	home *Router
+	lose atomic.Int64
+}
+
+func (l *lossy) Do(ctx context.Context, _ eelgrassbeam.Entry, request eelgrassbeam.Request) (eelgrassbeam.Reply, error) {
+	reply, err := l.home.Do(ctx, request)
+	if l.lose.Add(-1) >= 0 {
+		return eelgrassbeam.Reply{}, errors.New("connection lost")
+	}
+	return reply, err
+}
+
+// routers returns a home and a router of another entry that reaches it through the remote.
+func routers(t *testing.T, runs *atomic.Int64, remote func(home *Router) (Remote, eelgrassbeam.Entry)) *Router {
+	t.Helper()
+	k := start(t, storefake.New(), "home", nil)
+	config := RouterConfig{
+		Self: k.config.Self, Fleet: k.config.Fleet, Keeper: k, Clock: clockwork.NewRealClock(), Log: k.config.Log,
+		Run: func(_ context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error) {
+			runs.Add(1)
+			return eelgrassbeam.Reply{RequestID: request.ID, Outcome: eelgrassbeam.OutcomeAnswered, Status: 200}, nil
+		},
+	}
+	var reached eelgrassbeam.Entry
+	config.Remote, reached = remote(NewRouter(config))
+	config.Self = entry("other", reached.Region)
+	config.Fleet = fleet{&eelgrassbeam.Fleet{Entries: []eelgrassbeam.Entry{reached}}}
+	return NewRouter(config)
+}
+
+func assertRunsOnce(t *testing.T, remote func(home *Router) (Remote, eelgrassbeam.Entry)) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	var runs atomic.Int64
+	router := routers(t, &runs, remote)
+	request := keyed("r1", "k1", "x").WithTimeLeft(eelgrassbeam.Seconds(10))
+	request.Rank, request.Origin, request.OriginRegion = eelgrassbeam.RankUrgent, "other", "region-home"
+	reply := router.Route(t.Context(), request)
+	assertReply(t, reply, eelgrassbeam.OutcomeAnswered, "")
+	is.Equal(runs.Load(), int64(1))
+}
+
+func TestRoute(t *testing.T) {
+	t.Run("a lost reply is asked for again", func(t *testing.T) {
+		assertRunsOnce(t, func(home *Router) (Remote, eelgrassbeam.Entry) {
+			l := &lossy{home: home}
+			l.lose.Store(2)
+			return l, home.config.Self
+		})
+	})
+	t.Run("over gRPC", func(t *testing.T) {
+		assertRunsOnce(t, func(home *Router) (Remote, eelgrassbeam.Entry) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.New(t).NoErr(err)
+			server, pool := peer.NewServer(nil), peer.NewPool(peer.PoolConfig{})
+			Register(server, home)
+			done := make(chan error, 1)
+			go func() { done <- server.Serve(listener) }()
+			t.Cleanup(func() { pool.Close(); server.Stop(); <-done })
+			reached := home.config.Self
+			reached.PeerAddress = listener.Addr().(*net.TCPAddr).AddrPort()
+			return NewPeers(pool), reached
+		})
+	})
+	t.Run("a home that does not answer leaves the outcome unknown", func(t *testing.T) {
+		var runs atomic.Int64
+		router := routers(t, &runs, func(home *Router) (Remote, eelgrassbeam.Entry) {
+			l := &lossy{home: home}
+			l.lose.Store(1000)
+			return l, home.config.Self
+		})
+		reply := router.Route(t.Context(), keyed("r1", "k1", "x").WithTimeLeft(eelgrassbeam.Milliseconds(200)))
+		assertReply(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonPeerFailed)
+		is.New(t).Equal(runs.Load(), int64(1))
+	})
+}
