--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,11 +4,14 @@
 LDFLAGS := -X main.version=$(VERSION)
 export CGO_ENABLED := 1
 
-.PHONY: build test check generate
+.PHONY: build demo test check generate
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
 
+demo: build
+	bin/eelgrassbeam-demo
+
 test:
 	$(GO) test -race -count=1 ./...
 
@@ -16,3 +19,6 @@
 	script/bare-go
 	golangci-lint fmt --diff
 	golangci-lint run
+
+generate:
+	goa gen github.com/eelgrassbeam/eelgrassbeam/design
--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,258 @@
+// Package admitter decides which request of a site runs next, and at which upstream.
+package admitter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// DefaultWaitShare is the share of its remaining time that a request may be expected to wait.
+const DefaultWaitShare = 0.5
+
+// Config configures an Admitter.
+type Config struct {
+	Service eelgrassbeam.Service
+	// Weights scale a customer's share inside a rank; 1 where absent.
+	Weights map[eelgrassbeam.CustomerID]float64
+	Clock   eelgrassbeam.Clock
+	// WaitShare is the share of its remaining time that a request may be expected to wait; zero means DefaultWaitShare.
+	WaitShare float64
+	// Log receives one line a decision; nil for none.
+	Log logrus.FieldLogger
+	// Metrics count decisions; nil for none.
+	Metrics *Metrics
+}
+
+// Admitter queues the requests of one site and fills its upstreams' slots.
+// It is safe for concurrent use.
+type Admitter struct {
+	config Config
+	guards guards
+
+	mu        sync.Mutex
+	ranks     [eelgrassbeam.RankCount]*rankState
+	upstreams upstreamSet
+	service   mean
+	advanced  time.Time
+	closed    bool
+}
+
+// guards hold the off switches of the rules that tests prove.
+type guards struct {
+	noFloors, noFairness, noEarlyRefusal, noFailureHold bool
+}
+
+// Ticket is a request that was submitted.
+type Ticket struct {
+	request  eelgrassbeam.Request
+	rank     *rankState
+	customer *customerQueue
+	queued   time.Time
+	deadline time.Time
+	notify   func(*Slot, error)
+}
+
+// New returns an Admitter without upstreams.
+func New(config Config) *Admitter {
+	if config.WaitShare == 0 {
+		config.WaitShare = DefaultWaitShare
+	}
+	a := &Admitter{config: config, advanced: config.Clock.Now()}
+	for i, rank := range eelgrassbeam.Ranks() {
+		policy := config.Service.Policy(rank)
+		a.ranks[i] = &rankState{rank: rank, floor: policy.Floor, queue: newFairQueue(policy.QueueLimit, config.Weights)}
+	}
+	return a
+}
+
+// Admit waits until the request is given a slot. Every error means that the
+// request was not run.
+func (a *Admitter) Admit(ctx context.Context, request eelgrassbeam.Request, deadline time.Time) (*Slot, error) {
+	type result struct {
+		slot *Slot
+		err  error
+	}
+	results := make(chan result, 1)
+	ticket := a.Submit(request, deadline, func(slot *Slot, err error) { results <- result{slot, err} })
+	select {
+	case r := <-results:
+		return r.slot, r.err
+	default:
+	}
+	var cause error
+	select {
+	case r := <-results:
+		return r.slot, r.err
+	case <-ctx.Done():
+		cause = ctx.Err()
+	case <-a.config.Clock.After(deadline.Sub(a.config.Clock.Now())):
+		cause = ErrDeadline
+	}
+	if a.withdraw(ticket, cause) {
+		return nil, cause
+	}
+	r := <-results
+	if r.slot != nil {
+		r.slot.Release(Result{Outcome: OutcomeUnused})
+	}
+	return nil, cause
+}
+
+// Submit queues the request and calls notify exactly once: with a slot, or with
+// an error that means that the request was not run. Notify may be called before
+// Submit returns, and must not block.
+func (a *Admitter) Submit(request eelgrassbeam.Request, deadline time.Time, notify func(*Slot, error)) *Ticket {
+	ticket := &Ticket{request: request, deadline: deadline, notify: notify}
+	a.mu.Lock()
+	now := a.advance()
+	ticket.queued = now
+	ticket.rank = a.ranks[request.Rank.Index()]
+	var decided []decision
+	if err := a.enqueue(ticket, now, &decided); err != nil {
+		decided = append(decided, decision{ticket: ticket, err: err})
+	} else {
+		decided = a.dispatch(now, decided)
+	}
+	a.mu.Unlock()
+	a.deliver(decided)
+	return ticket
+}
+
+// Load returns the site's load.
+func (a *Admitter) Load() eelgrassbeam.SiteLoad {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	load := eelgrassbeam.SiteLoad{Slots: a.upstreams.slots(), InProgress: a.upstreams.inProgress()}
+	for _, rank := range a.ranks {
+		load.Waiting += rank.queue.length
+	}
+	return load
+}
+
+// ExpectedWait returns the wait that a request of the rank and customer would now be refused on.
+func (a *Admitter) ExpectedWait(rank eelgrassbeam.Rank, customer eelgrassbeam.CustomerID) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance()
+	return a.expectedWait(a.ranks[rank.Index()], customer)
+}
+
+// SetUpstreams replaces the set. An upstream that is absent, leaving or without
+// slots gets no more work; its running work goes on.
+func (a *Admitter) SetUpstreams(set []UpstreamSlots) {
+	a.mu.Lock()
+	now := a.advance()
+	a.upstreams.replace(set, now)
+	var decided []decision
+	if a.upstreams.slots() == 0 {
+		decided = a.refuseWaiting(ErrNoUpstream)
+	} else {
+		decided = a.dispatch(now, nil)
+	}
+	a.mu.Unlock()
+	a.deliver(decided)
+}
+
+// Close refuses waiting and later work as not run; running work goes on.
+func (a *Admitter) Close() {
+	a.mu.Lock()
+	a.closed = true
+	decided := a.refuseWaiting(ErrClosed)
+	a.mu.Unlock()
+	a.deliver(decided)
+}
+
+func (a *Admitter) enqueue(ticket *Ticket, now time.Time, decided *[]decision) error {
+	switch {
+	case a.closed:
+		return ErrClosed
+	case a.upstreams.slots() == 0:
+		return ErrNoUpstream
+	case !ticket.deadline.After(now):
+		return ErrDeadline
+	}
+	if !a.guards.noEarlyRefusal && a.isLate(ticket, now) {
+		return ErrDeadline
+	}
+	evicted, ok := ticket.rank.queue.push(ticket, !a.guards.noFairness)
+	if !ok {
+		return ErrQueueFull
+	}
+	if evicted != nil {
+		*decided = append(*decided, decision{ticket: evicted, err: ErrQueueFull})
+	}
+	return nil
+}
+
+// dispatch gives free slots to waiting requests and refuses those that are past their deadline.
+func (a *Admitter) dispatch(now time.Time, decided []decision) []decision {
+	for {
+		upstream := a.upstreams.choose(now, a.guards.noFailureHold)
+		if upstream == nil {
+			return decided
+		}
+		rank, byFloor := a.nextRank()
+		if rank == nil {
+			return decided
+		}
+		ticket := rank.queue.pop()
+		if !ticket.deadline.After(now) {
+			decided = append(decided, decision{ticket: ticket, err: ErrDeadline})
+			continue
+		}
+		decided = append(decided, decision{ticket: ticket, slot: a.start(ticket, upstream, byFloor, now)})
+	}
+}
+
+func (a *Admitter) start(ticket *Ticket, upstream *upstreamState, byFloor bool, now time.Time) *Slot {
+	upstream.start(now)
+	ticket.rank.start(byFloor)
+	return &Slot{
+		Upstream: upstream.upstream, admitter: a, state: upstream,
+		rank: ticket.rank, byFloor: byFloor, started: now,
+	}
+}
+
+func (a *Admitter) refuseWaiting(err error) []decision {
+	var decided []decision
+	for _, rank := range a.ranks {
+		for rank.queue.length > 0 {
+			decided = append(decided, decision{ticket: rank.queue.pop(), err: err})
+		}
+	}
+	return decided
+}
+
+// withdraw takes a waiting request out of its queue; false if it was decided before.
+func (a *Admitter) withdraw(ticket *Ticket, cause error) bool {
+	a.mu.Lock()
+	a.advance()
+	ok := ticket.rank.queue.remove(ticket)
+	a.mu.Unlock()
+	if ok {
+		a.record(decision{ticket: ticket, err: cause})
+	}
+	return ok
+}
+
+// advance brings the credits and shares up to the current time.
+func (a *Admitter) advance() time.Time {
+	now := a.config.Clock.Now()
+	elapsed := now.Sub(a.advanced)
+	if elapsed <= 0 {
+		return now
+	}
+	a.advanced = now
+	slots := float64(a.upstreams.slots())
+	higher := 0
+	for _, rank := range a.ranks {
+		rank.advance(elapsed, slots, higher)
+		higher += rank.inProgress
+	}
+	return now
+}
--- /dev/null
+++ b/admitter/queue.go
@@ -0,0 +1,183 @@
+package admitter
+
+import (
+	"container/list"
+	"math"
+	"slices"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// fairQueue is a bounded queue that serves customers by weight, with deficit round robin.
+type fairQueue struct {
+	limit   int
+	weights map[eelgrassbeam.CustomerID]float64
+	// heaviest is the largest weight; a customer of that weight is served at each visit.
+	heaviest  float64
+	customers map[eelgrassbeam.CustomerID]*customerQueue
+	// round holds the customers with waiting requests in the order of their visits.
+	round *list.List
+	// activeWeight is the sum of the weights of customers with waiting requests.
+	activeWeight float64
+	length       int
+}
+
+// customerQueue holds the waiting requests of one customer in order of arrival.
+type customerQueue struct {
+	id      eelgrassbeam.CustomerID
+	weight  float64
+	quantum float64
+	deficit float64
+	tickets []*Ticket
+	element *list.Element
+}
+
+func newFairQueue(limit int, weights map[eelgrassbeam.CustomerID]float64) *fairQueue {
+	heaviest := 1.0
+	for _, weight := range weights {
+		heaviest = max(heaviest, weight)
+	}
+	return &fairQueue{
+		limit: limit, weights: weights, heaviest: heaviest,
+		customers: make(map[eelgrassbeam.CustomerID]*customerQueue), round: list.New(),
+	}
+}
+
+// push adds the ticket. A full queue drops the newest ticket of the longest
+// customer if that is longer than the newcomer's would be.
+func (q *fairQueue) push(ticket *Ticket, fair bool) (evicted *Ticket, ok bool) {
+	id := ticket.request.Customer
+	if !fair {
+		id = ""
+	}
+	if q.length >= q.limit {
+		longest := q.longest()
+		if longest == nil || longest.id == id || longest.relative(0) <= q.relative(id) {
+			return nil, false
+		}
+		evicted = longest.tickets[len(longest.tickets)-1]
+		q.remove(evicted)
+	}
+	c := q.join(id)
+	ticket.customer = c
+	c.tickets = append(c.tickets, ticket)
+	q.length++
+	return evicted, true
+}
+
+// pop returns the next ticket; the queue must not be empty.
+func (q *fairQueue) pop() *Ticket {
+	for range q.round.Len() {
+		c := q.round.Front().Value.(*customerQueue)
+		c.deficit += c.quantum
+		if c.deficit >= 1 {
+			return q.take(c)
+		}
+		q.round.MoveToBack(c.element)
+	}
+	q.skipRounds()
+	return q.pop()
+}
+
+func (q *fairQueue) take(c *customerQueue) *Ticket {
+	ticket := c.tickets[0]
+	c.tickets[0] = nil
+	c.tickets = c.tickets[1:]
+	c.deficit--
+	q.length--
+	q.round.MoveToBack(c.element)
+	q.leaveIfEmpty(c)
+	return ticket
+}
+
+// skipRounds gives all customers the deficit of the rounds in which none would be served.
+func (q *fairQueue) skipRounds() {
+	rounds := math.Inf(1)
+	for e := q.round.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*customerQueue)
+		rounds = min(rounds, math.Ceil((1-c.deficit)/c.quantum)-1)
+	}
+	for e := q.round.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*customerQueue)
+		c.deficit += max(0, rounds) * c.quantum
+	}
+}
+
+func (q *fairQueue) remove(ticket *Ticket) bool {
+	c := ticket.customer
+	if c == nil {
+		return false
+	}
+	i := slices.Index(c.tickets, ticket)
+	if i < 0 {
+		return false
+	}
+	c.tickets = slices.Delete(c.tickets, i, i+1)
+	q.length--
+	q.leaveIfEmpty(c)
+	return true
+}
+
+func (q *fairQueue) join(id eelgrassbeam.CustomerID) *customerQueue {
+	if c, ok := q.customers[id]; ok {
+		return c
+	}
+	weight := q.weight(id)
+	c := &customerQueue{id: id, weight: weight, quantum: weight / q.heaviest}
+	c.element = q.round.PushBack(c)
+	q.customers[id] = c
+	q.activeWeight += weight
+	return c
+}
+
+func (q *fairQueue) leaveIfEmpty(c *customerQueue) {
+	if len(c.tickets) > 0 {
+		return
+	}
+	q.round.Remove(c.element)
+	delete(q.customers, c.id)
+	q.activeWeight -= c.weight
+	if q.round.Len() == 0 {
+		q.activeWeight = 0
+	}
+}
+
+func (q *fairQueue) weight(id eelgrassbeam.CustomerID) float64 {
+	if weight := q.weights[id]; weight > 0 {
+		return weight
+	}
+	return 1
+}
+
+func (q *fairQueue) longest() *customerQueue {
+	var longest *customerQueue
+	for e := q.round.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*customerQueue)
+		if longest == nil || c.relative(0) > longest.relative(0) {
+			longest = c
+		}
+	}
+	return longest
+}
+
+// relative returns the length that the customer's queue would have with one more ticket, by weight.
+func (q *fairQueue) relative(id eelgrassbeam.CustomerID) float64 {
+	if c, ok := q.customers[id]; ok {
+		return c.relative(1)
+	}
+	return 1 / q.weight(id)
+}
+
+// ahead estimates the number of requests that are served before a new one of the customer.
+func (q *fairQueue) ahead(id eelgrassbeam.CustomerID) float64 {
+	weight, total, own := q.weight(id), q.activeWeight, 0
+	if c, ok := q.customers[id]; ok {
+		own = len(c.tickets)
+	} else {
+		total += weight
+	}
+	return min(float64(q.length), float64(own+1)*total/weight-1)
+}
+
+// relative returns the queue's length with extra more tickets, by weight.
+func (c *customerQueue) relative(extra int) float64 { return float64(len(c.tickets)+extra) / c.weight }
--- /dev/null
+++ b/cmd/eelgrassbeamd/main.go
@@ -0,0 +1,83 @@
+// Command eelgrassbeamd is the daemon of an entry instance.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassbeam/eelgrassbeam/steerer"
+)
+
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+
+	environmentPrefix = "EELGRASSBEAMD"
+)
+
+// version is set when the program is linked.
+var version = "development"
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(arguments []string) int {
+	var s settings
+	flags := flag.NewFlagSet("eelgrassbeamd", flag.ContinueOnError)
+	s.register(flags)
+	showVersion := flags.Bool("version", false, "print the version and exit")
+	err := ff.Parse(flags, arguments, ff.WithEnvVarPrefix(environmentPrefix))
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "eelgrassbeamd:", err)
+		return exitUsage
+	}
+	if *showVersion {
+		fmt.Println(version)
+		return exitOK
+	}
+	config, err := s.check()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "eelgrassbeamd: settings:\n%v\n", err)
+		return exitUsage
+	}
+	return serve(config, newLog(s.logLevel))
+}
+
+func serve(config steerer.Config, log *logrus.Logger) int {
+	config.Clock = clockwork.NewRealClock()
+	config.Log = log
+	config.Version = version
+	s, err := steerer.New(config)
+	if err != nil {
+		log.WithFields(logrus.Fields{"event": "start_failed", "error": err}).Error("")
+		return exitFailed
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	if err := s.Run(context.Background(), signals); err != nil {
+		log.WithFields(logrus.Fields{"event": "stopped", "error": err}).Error("")
+		return exitFailed
+	}
+	return exitOK
+}
+
+func newLog(level string) *logrus.Logger {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(parsed)
+	}
+	return log
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,206 @@
+// Package dispatcher brings requests to the upstreams of the sites that this entry dispatches for.
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/admitter"
+	"github.com/eelgrassbeam/eelgrassbeam/logger"
+	"github.com/eelgrassbeam/eelgrassbeam/recorder"
+	"github.com/eelgrassbeam/eelgrassbeam/upstream"
+)
+
+// Assigner tells which sites this entry may dispatch for.
+type Assigner interface {
+	// MayDispatch returns the time since when the entry dispatches for the site.
+	MayDispatch(fleet *eelgrassbeam.Fleet, site eelgrassbeam.Site, now time.Time) (time.Time, bool)
+}
+
+// Grants checks the shift grants that this entry's region has given.
+type Grants interface {
+	// Spend uses one credit of the grant for the request; false refuses it.
+	Spend(request eelgrassbeam.Request, now time.Time) bool
+}
+
+// Config configures a Dispatcher.
+type Config struct {
+	Self          eelgrassbeam.Entry
+	Incarnation   uint64
+	Clock         eelgrassbeam.Clock
+	Log           logrus.FieldLogger
+	Decisions     *logger.Logger
+	Registerer    prometheus.Registerer
+	Fleet         eelgrassbeam.FleetSource
+	Configuration eelgrassbeam.ConfigurationSource
+	Assigner      Assigner
+	Grants        Grants
+	Recorder      *recorder.Recorder
+	Upstreams     *upstream.Client
+}
+
+// Dispatcher serves the requests of the sites that the entry owns. Lock order:
+// Dispatcher.mu before any site's own lock.
+type Dispatcher struct {
+	config  Config
+	metrics metrics
+
+	served, started atomic.Int64
+	// counts holds an *atomic.Int64 of exchanges a site.
+	counts sync.Map
+	mu     sync.Mutex
+	sites  map[eelgrassbeam.Site]*site
+	// leaving holds upstreams that said themselves that they leave, with the time when it was said.
+	leaving map[eelgrassbeam.UpstreamID]time.Time
+}
+
+// New returns a dispatcher without sites; Run adds them.
+func New(config Config) *Dispatcher {
+	return &Dispatcher{
+		config:  config,
+		metrics: newMetrics(config.Registerer),
+		sites:   make(map[eelgrassbeam.Site]*site),
+		leaving: make(map[eelgrassbeam.UpstreamID]time.Time),
+	}
+}
+
+// Forward implements eelgrassbeam.Forwarder at the site's dispatcher; every error is told in the reply.
+func (d *Dispatcher) Forward(ctx context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error) {
+	reply := d.forward(ctx, request)
+	reply.Dispatcher = d.config.Self.ID
+	if s, ok := d.site(request.Site); ok {
+		reply = reply.WithLoad(s.queue.Load())
+	}
+	return reply, nil
+}
+
+// Cancel implements the receiver's side of eelgrassbeam.Canceller.
+func (d *Dispatcher) Cancel(id eelgrassbeam.RequestID, incarnation uint64, age time.Duration) (eelgrassbeam.Cancellation, *eelgrassbeam.Reply) {
+	return d.config.Recorder.Cancel(id, incarnation, age)
+}
+
+func (d *Dispatcher) forward(ctx context.Context, request eelgrassbeam.Request) eelgrassbeam.Reply {
+	if request.Incarnation != 0 && request.Incarnation != d.config.Incarnation {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoDispatcher)
+	}
+	if err := d.config.Recorder.Receive(request.AttemptID); err != nil {
+		return refuseReceived(request.ID, err)
+	}
+	reply := d.admit(ctx, request)
+	d.config.Recorder.Finish(request.AttemptID, reply)
+	return reply
+}
+
+func refuseReceived(id eelgrassbeam.RequestID, err error) eelgrassbeam.Reply {
+	switch {
+	case errors.Is(err, recorder.ErrBarred):
+		return eelgrassbeam.NotRun(id, eelgrassbeam.ReasonCancelled)
+	case errors.Is(err, recorder.ErrFull):
+		return eelgrassbeam.NotRun(id, eelgrassbeam.ReasonQueueFull)
+	default:
+		return eelgrassbeam.Unknown(id, eelgrassbeam.ReasonInProgress)
+	}
+}
+
+// admit waits for a slot; it refuses only before anything was handed to an upstream.
+func (d *Dispatcher) admit(ctx context.Context, request eelgrassbeam.Request) eelgrassbeam.Reply {
+	now := d.config.Clock.Now()
+	if _, ok := d.config.Assigner.MayDispatch(d.config.Fleet.Fleet(), request.Site, now); !ok {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoDispatcher)
+	}
+	s, ok := d.site(request.Site)
+	if !ok {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoDispatcher)
+	}
+	if d.config.Grants != nil && request.OriginRegion != d.config.Self.Region && !d.config.Grants.Spend(request, now) {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoCapacity)
+	}
+	deadline := now.Add(request.TimeLeft.Duration)
+	slot, err := s.queue.Admit(ctx, request, deadline)
+	if err != nil {
+		return d.refuse(request, err)
+	}
+	return d.exchange(ctx, request, slot, deadline)
+}
+
+func (d *Dispatcher) refuse(request eelgrassbeam.Request, err error) eelgrassbeam.Reply {
+	reason := eelgrassbeam.ReasonCancelled
+	switch {
+	case errors.Is(err, admitter.ErrQueueFull):
+		reason = eelgrassbeam.ReasonQueueFull
+	case errors.Is(err, admitter.ErrDeadline), errors.Is(err, context.DeadlineExceeded):
+		reason = eelgrassbeam.ReasonDeadline
+	case errors.Is(err, admitter.ErrNoUpstream):
+		reason = eelgrassbeam.ReasonNoCapacity
+	case errors.Is(err, admitter.ErrClosed):
+		reason = eelgrassbeam.ReasonNoDispatcher
+	}
+	d.decide(request, "refuse", string(reason), 0)
+	return eelgrassbeam.NotRun(request.ID, reason)
+}
+
+// exchange runs the admitted request at the slot's upstream.
+func (d *Dispatcher) exchange(
+	ctx context.Context, request eelgrassbeam.Request, slot *admitter.Slot, deadline time.Time,
+) eelgrassbeam.Reply {
+	defer d.begin(request.Site)()
+	if reply, ok := d.start(request, deadline); !ok {
+		slot.Release(admitter.Result{Outcome: admitter.OutcomeUnused})
+		return reply
+	}
+	d.served.Add(1)
+	begin := d.config.Clock.Now()
+	waited := request.TimeLeft.Duration - deadline.Sub(begin)
+	d.decide(request, string(slot.Upstream.ID), "slot free", waited)
+	request = request.WithTimeLeft(eelgrassbeam.Duration{Duration: deadline.Sub(begin)})
+	if !request.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, request.TimeLeft.Duration)
+	defer cancel()
+	reply, err := d.config.Upstreams.Exchange(ctx, slot.Upstream, request, d.limits(request.Service))
+	elapsed := d.config.Clock.Now().Sub(begin)
+	d.metrics.observe(request, reply, elapsed)
+	if upstream.IsLeaving(reply) {
+		d.markLeaving(slot.Upstream.ID)
+	}
+	slot.Release(admitter.Result{Outcome: outcomeOf(reply, err), Duration: elapsed})
+	return reply
+}
+
+// begin counts an exchange and returns what ends the count.
+func (d *Dispatcher) begin(key eelgrassbeam.Site) func() {
+	counter := d.count(key)
+	counter.Add(1)
+	d.started.Add(1)
+	return func() {
+		counter.Add(-1)
+		d.started.Add(-1)
+	}
+}
+
+// start marks the attempt started, the last moment at which it can be refused; the role is checked again here,
+// because the process may have been paused while the request waited.
+func (d *Dispatcher) start(request eelgrassbeam.Request, deadline time.Time) (eelgrassbeam.Reply, bool) {
+	now := d.config.Clock.Now()
+	if !now.Before(deadline) {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonDeadline), false
+	}
+	if _, ok := d.config.Assigner.MayDispatch(d.config.Fleet.Fleet(), request.Site, now); !ok {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoDispatcher), false
+	}
+	if err := d.config.Recorder.Start(request.AttemptID); err != nil {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonCancelled), false
+	}
+	return eelgrassbeam.Reply{}, true
+}
+
+// Incarnation names this process among those that had its address.
+func (d *Dispatcher) Incarnation() uint64 { return d.config.Incarnation }
--- /dev/null
+++ b/dispatcher/outcome.go
@@ -0,0 +1,46 @@
+package dispatcher
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/admitter"
+	"github.com/eelgrassbeam/eelgrassbeam/logger"
+	"github.com/eelgrassbeam/eelgrassbeam/upstream"
+)
+
+func outcomeOf(reply eelgrassbeam.Reply, err error) admitter.Outcome {
+	switch {
+	case errors.Is(err, upstream.ErrShed):
+		return admitter.OutcomeShed
+	case reply.Outcome != eelgrassbeam.OutcomeAnswered, reply.Status >= http.StatusInternalServerError:
+		return admitter.OutcomeFailed
+	default:
+		return admitter.OutcomeOK
+	}
+}
+
+func (d *Dispatcher) limits(name eelgrassbeam.ServiceName) upstream.Limits {
+	configuration, ok := d.config.Configuration.Configuration()
+	if !ok {
+		return upstream.Limits{}
+	}
+	service, _ := configuration.Defaults.Service(name)
+	return upstream.Limits{
+		BodyBytes:   configuration.Defaults.BodyLimitBytes,
+		Progress:    configuration.Defaults.ProgressTimeout.Duration,
+		Connections: service.ConnectionsPerUpstream,
+	}
+}
+
+func (d *Dispatcher) decide(request eelgrassbeam.Request, choice, reason string, waited time.Duration) {
+	d.config.Decisions.Record(logger.Decision{
+		Kind: logger.KindAdmission, Request: request.ID, Versions: d.versions(), Choice: choice, Reason: reason,
+		Fields: logger.Fields{
+			logger.Text("site", request.Site.String()), logger.Text("rank", request.Rank),
+			logger.Text("customer", request.Customer), logger.Duration("waited_ms", waited),
+		},
+	})
+}
--- /dev/null
+++ b/loader/report.go
@@ -0,0 +1,135 @@
+package loader
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+const (
+	maxLatency         = 10 * time.Minute
+	significantFigures = 3
+)
+
+// Group is a service's rank in a report.
+type Group struct {
+	Service eelgrassbeam.ServiceName
+	Rank    eelgrassbeam.Rank
+}
+
+// Tally counts one group's outcomes.
+type Tally struct {
+	Sent     int
+	Outcomes map[Outcome]int
+	// Doubled is the number of non-idempotent requests that ran more than once.
+	Doubled int
+	// Latency holds answered requests' latencies in microseconds.
+	Latency *hdrhistogram.Histogram
+}
+
+// Report is what became of a load's requests.
+type Report struct {
+	Groups  map[Group]*Tally
+	Results map[eelgrassbeam.RequestID]Result
+}
+
+func newReport() *Report {
+	return &Report{Groups: make(map[Group]*Tally), Results: make(map[eelgrassbeam.RequestID]Result)}
+}
+
+func (r *Report) add(result Result) {
+	r.Results[result.ID] = result
+	tally := r.tally(Group{Service: result.Kind.Service, Rank: result.Kind.Rank})
+	tally.Sent++
+	tally.Outcomes[result.Outcome]++
+	if result.Outcome == Answered {
+		_ = tally.Latency.RecordValue(result.Latency.Microseconds())
+	}
+}
+
+func (r *Report) tally(group Group) *Tally {
+	tally, ok := r.Groups[group]
+	if !ok {
+		tally = &Tally{
+			Outcomes: make(map[Outcome]int),
+			Latency:  hdrhistogram.New(1, maxLatency.Microseconds(), significantFigures),
+		}
+		r.Groups[group] = tally
+	}
+	return tally
+}
+
+// Fault is a broken promise that a report shows.
+type Fault struct {
+	ID   eelgrassbeam.RequestID
+	What string
+}
+
+// Check compares the results with the number of runs of each request at the backend servers. Requests that were lost
+// or whose outcome is unknown may have run; idempotent ones may run again.
+func (r *Report) Check(runs map[string]int) []Fault {
+	var faults []Fault
+	for id, result := range r.Results {
+		n := runs[string(id)]
+		switch {
+		case result.Outcome == Crossed:
+			faults = append(faults, Fault{id, "answer of another request"})
+		case result.Outcome == NotRun && n > 0:
+			faults = append(faults, Fault{id, fmt.Sprintf("told not run, ran %d times", n)})
+		case result.Outcome == Answered && result.Status == 200 && n == 0:
+			faults = append(faults, Fault{id, "answered, never ran"})
+		}
+		if n > 1 && result.Kind.Method != "GET" {
+			r.tally(Group{Service: result.Kind.Service, Rank: result.Kind.Rank}).Doubled++
+			faults = append(faults, Fault{id, fmt.Sprintf("ran %d times", n)})
+		}
+	}
+	slices.SortFunc(faults, func(a, b Fault) int { return cmp.Compare(a.ID, b.ID) })
+	return faults
+}
+
+// Count returns the number of requests with the outcome.
+func (r *Report) Count(outcome Outcome) int {
+	n := 0
+	for _, tally := range r.Groups {
+		n += tally.Outcomes[outcome]
+	}
+	return n
+}
+
+// Print writes the report as a table, one row a service and rank.
+func (r *Report) Print(w io.Writer) error {
+	groups := make([]Group, 0, len(r.Groups))
+	for group := range r.Groups {
+		groups = append(groups, group)
+	}
+	slices.SortFunc(groups, func(a, b Group) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Rank.Index(), b.Rank.Index()))
+	})
+	var rows strings.Builder
+	rows.WriteString("service\trank\tsent\tanswered\tnot run\tunknown\tlost\tcrossed\tdoubled\tp50\tp99\t\n")
+	for _, group := range groups {
+		t := r.Groups[group]
+		rows.WriteString(fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t\n", group.Service, group.Rank, t.Sent,
+			t.Outcomes[Answered], t.Outcomes[NotRun], t.Outcomes[Unknown], t.Outcomes[Lost], t.Outcomes[Crossed], t.Doubled,
+			t.Quantile(50), t.Quantile(99)))
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	if _, err := io.WriteString(table, rows.String()); err != nil {
+		return err
+	}
+	return table.Flush()
+}
+
+// Quantile returns a percentile of the answered requests' latency.
+func (t *Tally) Quantile(percent float64) time.Duration {
+	return (time.Duration(t.Latency.ValueAtQuantile(percent)) * time.Microsecond).Round(10 * time.Microsecond)
+}
--- /dev/null
+++ b/loader/send.go
@@ -0,0 +1,121 @@
+package loader
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/caller"
+)
+
+// workHeader asks a stand-in backend server to take the time.
+const workHeader = "X-Standin-Work"
+
+// Outcome is what a caller learned about a request.
+type Outcome string
+
+// The outcomes; Lost is a transport failure, Crossed an answer to another request.
+const (
+	Answered Outcome = "answered"
+	NotRun   Outcome = "not_run"
+	Unknown  Outcome = "unknown"
+	Lost     Outcome = "lost"
+	Crossed  Outcome = "crossed"
+)
+
+// Result is what became of one request.
+type Result struct {
+	ID       eelgrassbeam.RequestID
+	Kind     Kind
+	Customer eelgrassbeam.CustomerID
+	Outcome  Outcome
+	Status   int
+	Reason   string
+	Latency  time.Duration
+	// Err is set for a lost request.
+	Err error
+}
+
+func (l *Loader) send(ctx context.Context, address string, kind Kind, n int) Result {
+	id := eelgrassbeam.RequestID(fmt.Sprintf("%s-%d", l.config.Prefix, n))
+	result := Result{ID: id, Kind: kind, Customer: customerOf(kind, n)}
+	begin := l.config.Clock.Now()
+	response, body, err := l.exchange(ctx, address, kind, result)
+	result.Latency = l.config.Clock.Now().Sub(begin)
+	if err != nil {
+		result.Outcome, result.Err = Lost, err
+		return result
+	}
+	result.Status = response.StatusCode
+	result.Reason = response.Header.Get(caller.HeaderReason)
+	result.Outcome = Outcome(response.Header.Get(caller.HeaderOutcome))
+	if !isOwnAnswer(result, response, body) {
+		result.Outcome = Crossed
+	}
+	return result
+}
+
+func (l *Loader) exchange(ctx context.Context, address string, kind Kind, result Result) (*http.Response, string, error) {
+	var body io.Reader
+	if kind.Method == http.MethodPost {
+		body = strings.NewReader(bodyOf(result.ID))
+	}
+	request, err := http.NewRequestWithContext(ctx, kind.Method, "http://"+address+kind.Path+"?id="+string(result.ID), body)
+	if err != nil {
+		return nil, "", err
+	}
+	request.Host = kind.Host
+	request.GetBody = nil
+	request.Header.Set(caller.HeaderRequestID, string(result.ID))
+	setUnlessEmpty(request.Header, caller.HeaderCustomer, string(result.Customer))
+	if l.config.Deadline > 0 {
+		request.Header.Set(caller.HeaderDeadline, strconv.FormatInt(l.config.Deadline.Milliseconds(), 10))
+	}
+	if kind.Work > 0 {
+		request.Header.Set(workHeader, kind.Work.String())
+	}
+	if kind.Keyed {
+		request.Header.Set(caller.HeaderIdempotencyKey, "key-"+string(result.ID))
+	}
+	response, err := l.client.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+func setUnlessEmpty(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+func bodyOf(id eelgrassbeam.RequestID) string { return "body of " + string(id) }
+
+// isOwnAnswer tells whether the answer carries the request's id and, where the stand-in answered, its body or target.
+func isOwnAnswer(result Result, response *http.Response, body string) bool {
+	if response.Header.Get(caller.HeaderRequestID) != string(result.ID) {
+		return false
+	}
+	if result.Outcome != Answered || result.Status != http.StatusOK {
+		return true
+	}
+	if result.Kind.Method == http.MethodPost {
+		return body == bodyOf(result.ID)
+	}
+	return strings.HasSuffix(strings.TrimSpace(body), "?id="+string(result.ID))
+}
+
+func customerOf(kind Kind, n int) eelgrassbeam.CustomerID {
+	if len(kind.Customers) == 0 {
+		return ""
+	}
+	return kind.Customers[n%len(kind.Customers)]
+}
--- /dev/null
+++ b/sender/sender.go
@@ -0,0 +1,277 @@
+// Package sender brings a caller's request from its entry to a site's dispatcher, once or again where that is safe.
+package sender
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/logger"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+	// retryPause is the time between attempts, doubled after each.
+	retryPause = 10 * time.Millisecond
+	// cancelTimeout bounds the question what became of an attempt.
+	cancelTimeout = 500 * time.Millisecond
+	// noCapacityRetryAfter is told to callers that found no capacity.
+	noCapacityRetryAfter = time.Second
+)
+
+// ErrNoSite reports that no site may take the request.
+var ErrNoSite = errors.New("no site")
+
+// Choice is a site with the reason for it.
+type Choice struct {
+	Site   eelgrassbeam.Site
+	Region eelgrassbeam.RegionID
+	// Grant is the shift grant that the choice uses, 0 for none.
+	Grant  uint64
+	Reason string
+}
+
+// Chooser chooses a site for a request, passing over the sites that were tried.
+type Chooser interface {
+	Choose(request eelgrassbeam.Request, tried []eelgrassbeam.Site, now time.Time) (Choice, error)
+	// Observe takes the load that a reply tells.
+	Observe(site eelgrassbeam.Site, load eelgrassbeam.SiteLoad, now time.Time)
+}
+
+// Budget bounds retries as a share of first attempts.
+type Budget interface {
+	// Attempt counts a first attempt.
+	Attempt(service eelgrassbeam.ServiceName)
+	// Retry takes a retry from the budget; false refuses it.
+	Retry(service eelgrassbeam.ServiceName) bool
+}
+
+// Owners tells which entry dispatches for a site.
+type Owners interface {
+	Owner(fleet *eelgrassbeam.Fleet, site eelgrassbeam.Site) (eelgrassbeam.Entry, bool)
+}
+
+// Local serves the sites that this entry dispatches for itself.
+type Local interface {
+	Forward(ctx context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error)
+}
+
+// Remote brings requests to other entries.
+type Remote interface {
+	// Greet returns the incarnation of the entry; an error means that nothing was sent.
+	Greet(ctx context.Context, to eelgrassbeam.Entry) (uint64, error)
+	// Forward returns an error when nothing is known about the outcome.
+	Forward(ctx context.Context, to eelgrassbeam.Entry, request eelgrassbeam.Request) (eelgrassbeam.Reply, error)
+	// Cancel bars the attempt at the entry or tells what became of it.
+	Cancel(ctx context.Context, to eelgrassbeam.Entry, request eelgrassbeam.Request, age time.Duration) (eelgrassbeam.Cancellation, *eelgrassbeam.Reply, error)
+}
+
+// Config configures a Sender.
+type Config struct {
+	Self        eelgrassbeam.Entry
+	Incarnation uint64
+	Clock       eelgrassbeam.Clock
+	Log         logrus.FieldLogger
+	Decisions   *logger.Logger
+	Fleet       eelgrassbeam.FleetSource
+	Chooser     Chooser
+	Budget      Budget
+	Owners      Owners
+	Local       Local
+	Remote      Remote
+	// ResendUnknown turns off the guard that a non-idempotent request of unknown outcome is never sent again. For tests only.
+	ResendUnknown bool
+}
+
+// Sender sends requests on behalf of callers.
+type Sender struct {
+	config  Config
+	attempt atomic.Uint64
+}
+
+// New returns a Sender.
+func New(config Config) *Sender { return &Sender{config: config} }
+
+// Send returns what became of the request; it attempts again while that is safe, in time and in budget.
+func (s *Sender) Send(ctx context.Context, request eelgrassbeam.Request) eelgrassbeam.Reply {
+	deadline := s.config.Clock.Now().Add(request.TimeLeft.Duration)
+	s.config.Budget.Attempt(request.Service)
+	var tried []eelgrassbeam.Site
+	pause := retryPause
+	for attempt := 1; ; attempt++ {
+		request = request.WithAttempt(attempt, s.nextAttemptID())
+		reply, site := s.try(ctx, request, tried, deadline)
+		if attempt == maxAttempts || !s.isRetryable(request, reply) {
+			return reply
+		}
+		if !s.wait(ctx, pause, deadline) || !s.config.Budget.Retry(request.Service) {
+			return reply
+		}
+		s.logRetry(request, reply)
+		tried = appendSite(tried, site)
+		pause *= 2
+	}
+}
+
+// try makes one attempt and returns the site that it chose.
+func (s *Sender) try(
+	ctx context.Context, request eelgrassbeam.Request, tried []eelgrassbeam.Site, deadline time.Time,
+) (eelgrassbeam.Reply, eelgrassbeam.Site) {
+	now := s.config.Clock.Now()
+	left := deadline.Sub(now)
+	if left <= 0 {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonDeadline), eelgrassbeam.Site{}
+	}
+	choice, err := s.config.Chooser.Choose(request, tried, now)
+	if err != nil {
+		return noCapacity(request.ID), eelgrassbeam.Site{}
+	}
+	request = request.WithSite(choice.Site, choice.Grant).WithTimeLeft(eelgrassbeam.Duration{Duration: left})
+	fleet := s.config.Fleet.Fleet()
+	owner, ok := s.config.Owners.Owner(fleet, choice.Site)
+	if !ok {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoDispatcher), choice.Site
+	}
+	s.decide(request, fleet, choice, owner)
+	reply := s.sendTo(ctx, owner, request)
+	if reply.Load != (eelgrassbeam.SiteLoad{}) {
+		s.config.Chooser.Observe(choice.Site, reply.Load, s.config.Clock.Now())
+	}
+	return reply, choice.Site
+}
+
+func (s *Sender) sendTo(ctx context.Context, owner eelgrassbeam.Entry, request eelgrassbeam.Request) eelgrassbeam.Reply {
+	if owner.ID == s.config.Self.ID {
+		reply, err := s.config.Local.Forward(ctx, request)
+		return checked(reply, err, request)
+	}
+	sent := s.config.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, request.TimeLeft.Duration)
+	defer cancel()
+	incarnation, err := s.config.Remote.Greet(ctx, owner)
+	if err != nil {
+		s.logUnreached(request, owner, err)
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonPeerFailed)
+	}
+	request = request.WithIncarnation(incarnation)
+	reply, err := s.config.Remote.Forward(ctx, owner, request)
+	if err == nil {
+		return checked(reply, nil, request)
+	}
+	return s.resolve(ctx, owner, request, sent, err)
+}
+
+// resolve asks the receiver what became of an attempt whose reply was lost, and bars it if it has not started.
+func (s *Sender) resolve(
+	ctx context.Context, owner eelgrassbeam.Entry, request eelgrassbeam.Request, sent time.Time, cause error,
+) eelgrassbeam.Reply {
+	ask, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	state, reply, err := s.config.Remote.Cancel(ask, owner, request, s.config.Clock.Now().Sub(sent))
+	s.config.Log.WithFields(logrus.Fields{
+		"event": "reply_lost", "request": request.ID, "attempt": request.AttemptID, "peer": owner.ID,
+		"state": state, "cause": cause, "error": err,
+	}).Warn("")
+	switch {
+	case err != nil:
+		return eelgrassbeam.Unknown(request.ID, eelgrassbeam.ReasonPeerFailed)
+	case state == eelgrassbeam.CancelNotStarted && ctx.Err() != nil:
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonDeadline)
+	case state == eelgrassbeam.CancelNotStarted:
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonPeerFailed)
+	case state == eelgrassbeam.CancelDone && reply != nil:
+		return checked(*reply, nil, request)
+	default:
+		return eelgrassbeam.Unknown(request.ID, eelgrassbeam.ReasonPeerFailed)
+	}
+}
+
+// checked discards a reply that is not for the request.
+func checked(reply eelgrassbeam.Reply, err error, request eelgrassbeam.Request) eelgrassbeam.Reply {
+	if err == nil {
+		err = reply.Validate(request.ID)
+	}
+	if err != nil {
+		return eelgrassbeam.Unknown(request.ID, eelgrassbeam.ReasonPeerFailed)
+	}
+	return reply
+}
+
+func (s *Sender) isRetryable(request eelgrassbeam.Request, reply eelgrassbeam.Reply) bool {
+	switch reply.Outcome {
+	case eelgrassbeam.OutcomeNotRun:
+		return isPassing(reply.Reason)
+	case eelgrassbeam.OutcomeUnknown:
+		return request.Idempotent || s.config.ResendUnknown
+	default:
+		return false
+	}
+}
+
+// isPassing tells whether another attempt may fare better.
+func isPassing(reason eelgrassbeam.Reason) bool {
+	switch reason {
+	case eelgrassbeam.ReasonNoDispatcher, eelgrassbeam.ReasonPeerFailed, eelgrassbeam.ReasonUpstreamFailed,
+		eelgrassbeam.ReasonUpstreamRefused, eelgrassbeam.ReasonStopping, eelgrassbeam.ReasonNoCapacity:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Sender) wait(ctx context.Context, pause time.Duration, deadline time.Time) bool {
+	if s.config.Clock.Now().Add(pause).After(deadline) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.config.Clock.After(pause):
+		return true
+	}
+}
+
+func (s *Sender) nextAttemptID() eelgrassbeam.RequestID {
+	return eelgrassbeam.RequestID(fmt.Sprintf("%s.%x.%x", s.config.Self.ID, s.config.Incarnation, s.attempt.Add(1)))
+}
+
+func noCapacity(id eelgrassbeam.RequestID) eelgrassbeam.Reply {
+	return eelgrassbeam.NotRun(id, eelgrassbeam.ReasonNoCapacity).
+		WithRetryAfter(eelgrassbeam.Duration{Duration: noCapacityRetryAfter})
+}
+
+func appendSite(tried []eelgrassbeam.Site, site eelgrassbeam.Site) []eelgrassbeam.Site {
+	if site == (eelgrassbeam.Site{}) {
+		return tried
+	}
+	return append(tried, site)
+}
+
+func (s *Sender) logUnreached(request eelgrassbeam.Request, owner eelgrassbeam.Entry, err error) {
+	s.config.Log.WithFields(logrus.Fields{
+		"event": "peer_unreached", "request": request.ID, "attempt": request.AttemptID, "peer": owner.ID, "error": err,
+	}).Warn("")
+}
+
+func (s *Sender) logRetry(request eelgrassbeam.Request, reply eelgrassbeam.Reply) {
+	s.config.Log.WithFields(logrus.Fields{
+		"event": "retry", "request": request.ID, "attempt": request.AttemptID, "outcome": reply.Outcome, "reason": reply.Reason,
+	}).Info("")
+}
+
+func (s *Sender) decide(request eelgrassbeam.Request, fleet *eelgrassbeam.Fleet, choice Choice, owner eelgrassbeam.Entry) {
+	s.config.Decisions.Record(logger.Decision{
+		Kind: logger.KindDispatch, Request: request.ID, Versions: logger.Versions{Fleet: fleet.Revision},
+		Choice: choice.Site.String(), Reason: choice.Reason,
+		Fields: logger.Fields{
+			logger.Text("rank", request.Rank), logger.Text("dispatcher", owner.ID), logger.Int("attempt", request.Attempt),
+			logger.Int("grant", request.Grant),
+		},
+	})
+}
--- /dev/null
+++ b/steerer/build.go
@@ -0,0 +1,165 @@
+package steerer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/assigner"
+	"github.com/eelgrassbeam/eelgrassbeam/caller"
+	"github.com/eelgrassbeam/eelgrassbeam/changer"
+	"github.com/eelgrassbeam/eelgrassbeam/dispatcher"
+	"github.com/eelgrassbeam/eelgrassbeam/holder"
+	"github.com/eelgrassbeam/eelgrassbeam/keeper"
+	"github.com/eelgrassbeam/eelgrassbeam/logger"
+	"github.com/eelgrassbeam/eelgrassbeam/monitor"
+	"github.com/eelgrassbeam/eelgrassbeam/operator"
+	"github.com/eelgrassbeam/eelgrassbeam/peer"
+	"github.com/eelgrassbeam/eelgrassbeam/platform"
+	"github.com/eelgrassbeam/eelgrassbeam/recorder"
+	"github.com/eelgrassbeam/eelgrassbeam/securer"
+	"github.com/eelgrassbeam/eelgrassbeam/sender"
+	"github.com/eelgrassbeam/eelgrassbeam/upstream"
+)
+
+const (
+	// headerTimeout bounds the time for a request's header.
+	headerTimeout = 10 * time.Second
+	// callerIdleTimeout closes callers' connections that are idle.
+	callerIdleTimeout = 2 * time.Minute
+)
+
+// build puts the parts together from the bottom up.
+func (s *Steerer) build() error {
+	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	secure, err := s.buildTLS()
+	if err != nil {
+		return err
+	}
+	s.decisions = logger.New(s.decisionConfig())
+	pool := peer.PoolConfig{Clock: s.config.Clock, Log: s.config.Log, Credentials: secure.ClientCredentials()}
+	s.pool, s.control = peer.NewPool(pool), peer.NewPool(pool)
+	if err := s.buildState(); err != nil {
+		return err
+	}
+	s.buildRequests()
+	s.buildKeys()
+	s.buildServers(secure)
+	return nil
+}
+
+func (s *Steerer) buildTLS() (*securer.Securer, error) {
+	files := securer.Config{CertFile: s.config.TLSCert, KeyFile: s.config.TLSKey, CAFile: s.config.TLSCA}
+	if !files.IsSet() {
+		return nil, nil
+	}
+	return securer.New(files)
+}
+
+func (s *Steerer) decisionConfig() logger.Config {
+	config := logger.Config{Log: s.config.Log, Clock: s.config.Clock}
+	switch s.config.DecisionLog {
+	case DecisionLogOff:
+		config.Log = nil
+	case DecisionLogSampled:
+		config.Sample = sampleEvery
+	}
+	return config
+}
+
+// buildState builds what the entry knows: the configuration, the fleet and its own roles.
+func (s *Steerer) buildState() error {
+	store, err := platform.New(platform.Config{
+		URL: s.config.PlatformURL, Timeout: s.config.PlatformTimeout, Clock: s.config.Clock,
+		Registerer: s.registry, Log: s.config.Log,
+	})
+	if err != nil {
+		return err
+	}
+	s.store = store
+	s.holder = holder.New(holder.Config{Clock: s.config.Clock, Log: s.config.Log, Registerer: s.registry})
+	s.changer = changer.New(changer.Config{Store: store, Clock: s.config.Clock, Log: s.config.Log})
+	s.monitor = monitor.New(monitor.Config{
+		Self: s.self, Store: store, Pool: s.control, Clock: s.config.Clock, Log: s.config.Log,
+		Registerer: s.registry, Seeds: s.config.Seeds, Incarnation: s.incarnation,
+	})
+	s.assigner = assigner.New(assigner.Config{
+		Self: s.self, Fleet: s.monitor, Terms: s.monitor, Pool: s.control, Clock: s.config.Clock,
+		InProgress: s.inProgress, Log: s.config.Log, Registerer: s.registry,
+	})
+	return nil
+}
+
+// buildRequests builds the path of a request from the caller's handler down to the upstream.
+func (s *Steerer) buildRequests() {
+	s.upstreams = upstream.New(upstream.Config{
+		Clock: s.config.Clock, Log: s.config.Log, Registerer: s.registry,
+		LoadPath: s.config.LoadPath, ProbePath: s.config.ProbePath,
+	})
+	s.recorder = recorder.New(recorder.Config{
+		Clock: s.config.Clock, Registerer: s.registry, Incarnation: s.incarnation,
+	})
+	s.dispatcher = dispatcher.New(dispatcher.Config{
+		Self: s.self, Incarnation: s.incarnation, Clock: s.config.Clock, Log: s.config.Log, Decisions: s.decisions,
+		Registerer: s.registry, Fleet: s.monitor, Configuration: s.holder, Assigner: s.assigner,
+		Recorder: s.recorder, Upstreams: s.upstreams,
+	})
+	s.sender = sender.New(sender.Config{
+		Self: s.self, Incarnation: s.incarnation, Clock: s.config.Clock, Log: s.config.Log, Decisions: s.decisions,
+		Fleet: s.monitor, Budget: sender.Unbounded{}, Owners: s.assigner, Local: s.dispatcher, Remote: sender.NewPeers(s.pool),
+		Chooser: sender.NewNearest(sender.NearestConfig{Self: s.self, Fleet: s.monitor, Configuration: s.holder}),
+	})
+}
+
+// buildKeys builds the homes of idempotency keys over the sender.
+func (s *Steerer) buildKeys() {
+	s.keeper = keeper.New(keeper.Config{
+		Self: s.self, Incarnation: s.incarnation, Store: s.store, Fleet: s.monitor, Configuration: s.holder,
+		Clock: s.config.Clock, Log: s.config.Log, Registerer: s.registry,
+	})
+	s.keys = keeper.NewRouter(keeper.RouterConfig{
+		Self: s.self, Fleet: s.monitor, Keeper: s.keeper, Remote: keeper.NewPeers(s.pool),
+		Run: func(ctx context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error) {
+			return s.sender.Send(ctx, request), nil
+		},
+		Clock: s.config.Clock, Log: s.config.Log,
+	})
+}
+
+// Send implements caller.Sender: a non-idempotent request with a key goes by the key's home.
+func (s *Steerer) Send(ctx context.Context, request eelgrassbeam.Request) eelgrassbeam.Reply {
+	if request.Idempotent || request.IdempotencyKey == "" {
+		return s.sender.Send(ctx, request)
+	}
+	return s.keys.Route(ctx, request)
+}
+
+// inProgress counts the site's exchanges at this entry's dispatcher, which is built after the assigner.
+func (s *Steerer) inProgress(site eelgrassbeam.Site) int { return s.dispatcher.SiteInProgress(site) }
+
+// buildServers builds the handlers of the three listeners.
+func (s *Steerer) buildServers(secure *securer.Securer) {
+	requests := caller.New(caller.Config{
+		Self: s.self, Clock: s.config.Clock, Log: s.config.Log, Registerer: s.registry,
+		Configuration: s.holder, Sender: s,
+	})
+	s.callers = &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, Handler: caller.NewLookup(caller.LookupConfig{
+		Self: s.self, Clock: s.config.Clock, Decisions: s.decisions, Fleet: s.monitor, Configuration: s.holder,
+		Placer: caller.HomePlacer{}, Requests: requests,
+	})}
+	s.operators = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: operator.New(operator.Config{
+		Backend: s, Log: s.config.Log, Clock: s.config.Clock, Health: http.HandlerFunc(s.serveHealth),
+		Ready: http.HandlerFunc(s.serveReady), Metrics: promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}),
+	})}
+	s.operators.TLSConfig = secure.ServerTLS()
+	s.peers = peer.NewServer(secure.ServerCredentials())
+	peer.RegisterPing(s.peers)
+	sender.Register(s.peers, s.dispatcher)
+	keeper.Register(s.peers, s.keys)
+	s.monitor.Register(s.peers)
+	s.assigner.Register(s.peers)
+}
--- /dev/null
+++ b/steerer/run.go
@@ -0,0 +1,127 @@
+package steerer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// stopPoll is the time between looks at what is still in progress during a planned stop.
+const stopPoll = 50 * time.Millisecond
+
+// Run serves until the context ends or a signal comes. The first signal begins a planned stop; the second ends it at once.
+func (s *Steerer) Run(ctx context.Context, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, part := range s.runners() {
+		group.Go(func() error { return part.Run(ctx) })
+	}
+	group.Go(func() error { return served(s.callers.Serve(s.listeners.caller)) })
+	group.Go(func() error { return served(s.operators.Serve(s.listeners.operator)) })
+	group.Go(func() error { return s.peers.Serve(s.listeners.peer) })
+	group.Go(func() error {
+		defer cancel()
+		defer s.close()
+		select {
+		case <-ctx.Done():
+			return nil
+		case signal := <-signals:
+			s.config.Log.WithFields(logrus.Fields{"event": "stopping", "signal": signal}).Info("")
+			return s.stop(ctx, signals)
+		}
+	})
+	return group.Wait()
+}
+
+// runners are the parts that run beside the servers.
+func (s *Steerer) runners() []eelgrassbeam.Runner {
+	return []eelgrassbeam.Runner{
+		s.pool, s.control, s.monitor, poller{s}, s.assigner, s.upstreams, s.recorder, s.dispatcher, s.keeper,
+	}
+}
+
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// stop leaves look-up answers, serves for as long as callers may hold one, and finishes what is in progress.
+func (s *Steerer) stop(ctx context.Context, signals <-chan os.Signal) error {
+	begin := s.config.Clock.Now()
+	limit, cancel := context.WithTimeout(ctx, s.config.StopTimeout)
+	defer cancel()
+	watch, stopWatch := context.WithCancel(limit)
+	defer stopWatch()
+	group, _ := errgroup.WithContext(watch)
+	group.Go(func() error {
+		select {
+		case <-signals:
+			cancel()
+		case <-watch.Done():
+		}
+		return nil
+	})
+	s.stopping.Store(true)
+	s.monitor.Leave()
+	s.pause(limit, s.lookupTTL())
+	err := s.callers.Shutdown(limit)
+	s.finish(limit)
+	stopWatch()
+	_ = group.Wait()
+	return s.reportStop(begin, err)
+}
+
+// finish waits until no request is in progress at this entry's dispatcher.
+func (s *Steerer) finish(ctx context.Context) {
+	for s.dispatcher.InProgress() > 0 && ctx.Err() == nil {
+		s.pause(ctx, stopPoll)
+	}
+}
+
+func (s *Steerer) reportStop(begin time.Time, err error) error {
+	cut := s.dispatcher.InProgress()
+	s.config.Log.WithFields(logrus.Fields{
+		"event": "stopped", "drain_time": s.config.Clock.Now().Sub(begin), "cut": cut,
+		"served": s.dispatcher.Served(), "error": err,
+	}).Info("")
+	if err != nil || cut > 0 {
+		return fmt.Errorf("%w: %d exchanges", ErrCut, cut)
+	}
+	return nil
+}
+
+func (s *Steerer) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-s.config.Clock.After(d):
+	}
+}
+
+func (s *Steerer) lookupTTL() time.Duration {
+	configuration, ok := s.holder.Configuration()
+	if !ok {
+		return 0
+	}
+	return configuration.Defaults.LookupTTL.Duration
+}
+
+// close ends the servers; a planned stop has emptied them before.
+func (s *Steerer) close() {
+	_ = s.callers.Close()
+	_ = s.operators.Close()
+	s.peers.Stop()
+	s.pool.Close()
+	s.control.Close()
+	s.upstreams.Close()
+}
--- /dev/null
+++ b/steerer/status.go
@@ -0,0 +1,105 @@
+package steerer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/holder"
+	"github.com/eelgrassbeam/eelgrassbeam/logger"
+	"github.com/eelgrassbeam/eelgrassbeam/operator"
+)
+
+// IsReady tells whether the entry may serve callers: it holds a configuration, knows upstreams, may dispatch for the
+// sites that it owns, and does not stop.
+func (s *Steerer) IsReady() bool {
+	configuration, ok := s.holder.Configuration()
+	return ok && !s.stopping.Load() && s.isSettled(configuration)
+}
+
+// isSettled tells whether the entry may dispatch for each site that it owns.
+func (s *Steerer) isSettled(configuration *eelgrassbeam.Configuration) bool {
+	fleet, now := s.monitor.Fleet(), s.config.Clock.Now()
+	for _, service := range configuration.Defaults.Services {
+		for _, site := range fleet.ServiceSites(service.Name) {
+			owner, ok := s.assigner.Owner(fleet, site.Site)
+			if !ok || owner.ID != s.self.ID {
+				continue
+			}
+			if _, ok := s.assigner.MayDispatch(fleet, site.Site, now); !ok {
+				return false
+			}
+		}
+	}
+	return len(fleet.Upstreams) > 0
+}
+
+func (s *Steerer) serveHealth(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func (s *Steerer) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.IsReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Configuration implements operator.Backend.
+func (s *Steerer) Configuration() (*eelgrassbeam.Configuration, bool) {
+	return s.holder.Configuration()
+}
+
+// Decisions implements operator.Backend.
+func (s *Steerer) Decisions(filter logger.Filter) []logger.Decision {
+	return s.decisions.Recent(filter)
+}
+
+// Apply implements operator.Backend.
+func (s *Steerer) Apply(ctx context.Context, change operator.Change) (*eelgrassbeam.Configuration, error) {
+	stored, err := operator.Applier{Changer: s.changer}.Apply(ctx, change)
+	if err != nil || change.DryRun {
+		return stored, err
+	}
+	if err := s.holder.Offer(*stored, holder.SourcePlatform); err != nil {
+		s.config.Log.WithFields(logrus.Fields{"event": "config_overtaken", "version": stored.Version, "error": err}).Info("")
+	}
+	return stored, nil
+}
+
+// Status implements operator.Backend.
+func (s *Steerer) Status(ctx context.Context) (operator.Status, error) {
+	fleet := s.monitor.Fleet()
+	status := operator.Status{Reporter: s.self.ID}
+	configuration, ok := s.holder.Configuration()
+	if !ok {
+		configuration = &eelgrassbeam.Configuration{}
+	}
+	status.StoredVersion = configuration.Version
+	if stored, err := s.changer.Read(ctx); err == nil {
+		status.StoredVersion, status.StoreReachable = max(stored.Version, configuration.Version), true
+	}
+	now := s.config.Clock.Now()
+	for _, entry := range fleet.Entries {
+		status.Entries = append(status.Entries, operator.EntryStatus{
+			ID: entry.ID, Zone: entry.Zone, Region: entry.Region, State: entry.State,
+			Drained: configuration.IsEntryDrained(entry, now), Address: entry.Address, OperatorAddress: entry.OperatorAddress,
+		})
+	}
+	for _, u := range fleet.Upstreams {
+		status.Upstreams = append(status.Upstreams, s.upstreamStatus(fleet, configuration, u, now))
+	}
+	return status, nil
+}
+
+func (s *Steerer) upstreamStatus(
+	fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, u eelgrassbeam.Upstream, now time.Time,
+) operator.UpstreamStatus {
+	owner, _ := s.assigner.Owner(fleet, eelgrassbeam.Site{Service: u.Service, Zone: u.Zone})
+	return operator.UpstreamStatus{
+		ID: u.ID, Service: u.Service, Zone: u.Zone, Region: u.Region, State: u.State,
+		Drained: configuration.IsUpstreamDrained(u, now), Dispatcher: owner.ID,
+	}
+}
