--- a/loader/report.go
+++ b/loader/report.go
@@ -118,9 +118,9 @@
 	rows.WriteString("service\trank\tsent\tanswered\tnot run\tunknown\tlost\tcrossed\tdoubled\tp50\tp99\t\n")
 	for _, group := range groups {
 		t := r.Groups[group]
-		rows.WriteString(fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t\n", group.Service, group.Rank, t.Sent,
+		fmt.Fprintf(&rows, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t\n", group.Service, group.Rank, t.Sent,
 			t.Outcomes[Answered], t.Outcomes[NotRun], t.Outcomes[Unknown], t.Outcomes[Lost], t.Outcomes[Crossed], t.Doubled,
-			t.Quantile(50), t.Quantile(99)))
+			t.Quantile(50), t.Quantile(99))
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	if _, err := io.WriteString(table, rows.String()); err != nil {
