Keep refused requests out of the request record

Every refusal of a flood took a place in the record for the window, so that a flood of background work could fill it and have urgent requests refused. A request that ends as not run before it starts is forgotten now; a later cancel bars its id as one never received, which is still true.

The window is 30 s, above the longest default deadline, and a cancel takes at most 1 s.

--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	defaultWindow        = time.Minute
+	defaultWindow        = 30 * time.Second
 	defaultCapacity      = 100_000
 	defaultReplyBytes    = 8 << 20
-	defaultCancelTimeout = 5 * time.Second
+	defaultCancelTimeout = time.Second
 	sweepInterval        = 500 * time.Millisecond
 	maxStep              = 2 * sweepInterval
 )
@@ -23,11 +23,11 @@
 type Config struct {
 	Clock      eelgrassbeam.Clock
 	Registerer prometheus.Registerer
-	// Window is the greatest age of a request that a cancel may bar.
+	// Window is the greatest age of a request that a cancel may bar; keep it above the longest deadline.
 	Window time.Duration
 	// CancelTimeout is how long a cancel may take; its sender disregards later answers.
 	CancelTimeout time.Duration
-	// Capacity bounds the number of requests remembered.
+	// Capacity bounds the number of requests remembered; those of Window and CancelTimeout have to fit.
 	Capacity int
 	// ReplyBytes bounds the replies kept, in bytes.
 	ReplyBytes int64
@@ -90,7 +90,7 @@
 	}
 }
 
-// Receive takes one attempt at a request under an id of its own. An id seen before is never taken again.
+// Receive takes one attempt at a request under an id of its own. An id that was started or barred is never taken again.
 func (r *Recorder) Receive(id eelgrassbeam.RequestID) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -123,7 +123,9 @@
 	}
 }
 
-// Finish records the reply to a request that was received and not barred.
+// Finish records the reply to a request that was received and not barred. A
+// request that ends as not run before it started is forgotten, so that a flood
+// of refusals does not fill the record; a cancel then bars its id as an unseen one.
 func (r *Recorder) Finish(id eelgrassbeam.RequestID, reply eelgrassbeam.Reply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -131,6 +133,10 @@
 	if !ok || found.state == StateBarred || found.state == StateDone {
 		return
 	}
+	if found.state == StateReceived && reply.Outcome == eelgrassbeam.OutcomeNotRun {
+		delete(r.records, id)
+		return
+	}
 	found.state = StateDone
 	r.settle(id, found)
 	r.keep(id, found, reply)
