Ask upstreams for their load and heed their word that they leave

Cause: the platform's list lags, so an upstream that leaves got work until the list said so. Ruled out: the separate health probe beside the load report; both cost a slot's time and the report carries the word. Before: shed answers alone. After: one dispatcher an upstream asks at probe_interval; reports feed the admission as advice. Not measured yet.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -51,6 +51,7 @@
 type Dispatcher struct {
 	config  Config
 	metrics metrics
+	reports *reports
 
 	served, started atomic.Int64
 	// counts holds an *atomic.Int64 of exchanges a site.
@@ -68,6 +69,7 @@
 		metrics: newMetrics(config.Registerer),
 		sites:   make(map[eelgrassbeam.Site]*site),
 		leaving: make(map[eelgrassbeam.UpstreamID]time.Time),
+		reports: newReports(),
 	}
 }
 
@@ -171,7 +173,7 @@
 	if upstream.IsLeaving(reply) {
 		d.markLeaving(slot.Upstream.ID)
 	}
-	slot.Release(admitter.Result{Outcome: outcomeOf(reply, err), Duration: elapsed})
+	slot.Release(d.result(slot.Upstream, reply, err, elapsed))
 	return reply
 }
 
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -11,6 +11,16 @@
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
 )
 
+// result tells the site's queue how the exchange went.
+func (d *Dispatcher) result(u eelgrassbeam.Upstream, reply eelgrassbeam.Reply, err error, elapsed time.Duration) admitter.Result {
+	result := admitter.Result{Outcome: outcomeOf(reply, err), Duration: elapsed}
+	if configuration, ok := d.config.Configuration.Configuration(); ok {
+		service, _ := configuration.Defaults.Service(u.Service)
+		result.Load, result.HasLoad = d.reports.share(u.ID, service.ProbeInterval.Duration, d.config.Clock.Now())
+	}
+	return result
+}
+
 func outcomeOf(reply eelgrassbeam.Reply, err error) admitter.Outcome {
 	switch {
 	case errors.Is(err, upstream.ErrShed):
--- a/dispatcher/site.go
+++ b/dispatcher/site.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 	"github.com/eelgrassbeam/eelgrassbeam/admitter"
@@ -29,6 +30,13 @@
 // Run keeps the sites in step with the fleet, the configuration and the roles until the context ends; then it
 // refuses the requests that wait.
 func (d *Dispatcher) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.follow(ctx) })
+	group.Go(func() error { return d.probe(ctx) })
+	return group.Wait()
+}
+
+func (d *Dispatcher) follow(ctx context.Context) error {
 	for {
 		d.reconcile()
 		select {
@@ -123,6 +131,15 @@
 	d.reconcile()
 }
 
+// unmarkLeaving takes back the upstream's word if it was given before the time.
+func (d *Dispatcher) unmarkLeaving(id eelgrassbeam.UpstreamID, before time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at, ok := d.leaving[id]; ok && at.Before(before) {
+		delete(d.leaving, id)
+	}
+}
+
 func (d *Dispatcher) forgetLeft(now time.Time) {
 	for id, at := range d.leaving {
 		if now.Sub(at) > leavingMemory {
