--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,182 @@
+package admitter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+func TestAdmit(t *testing.T) {
+	t.Run("gives a free slot at once and waits for a busy one", func(t *testing.T) {
+		is, s := is.New(t), newSite(t, 1)
+		first, err := s.Admit(t.Context(), request("a", eelgrassbeam.RankUrgent), s.in(time.Second))
+		is.NoErr(err)
+		second := s.submit("a", eelgrassbeam.RankUrgent, time.Second)
+		is.Equal(s.Load(), eelgrassbeam.SiteLoad{Slots: 1, InProgress: 1, Waiting: 1})
+		first.Release(Result{Outcome: OutcomeOK, Duration: time.Millisecond})
+		first.Release(Result{Outcome: OutcomeOK, Duration: time.Millisecond})
+		is.True(second.slot != nil)
+		is.Equal(s.Load().InProgress, 1)
+	})
+	t.Run("a cancelled or late caller leaves the queue", func(t *testing.T) {
+		is, s := is.New(t), newSite(t, 1)
+		s.submit("a", eelgrassbeam.RankUrgent, time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := s.Admit(ctx, request("a", eelgrassbeam.RankUrgent), s.in(time.Second))
+		is.True(errors.Is(err, context.Canceled))
+		failed := make(chan error, 1)
+		go func() {
+			_, err := s.Admit(t.Context(), request("a", eelgrassbeam.RankUrgent), s.in(time.Second))
+			failed <- err
+		}()
+		is.NoErr(s.clock.BlockUntilContext(t.Context(), 2))
+		s.clock.Advance(time.Second)
+		is.True(errors.Is(<-failed, ErrDeadline))
+		is.Equal(s.Load().Waiting, 0)
+	})
+	t.Run("refuses without upstreams, past the deadline, after close and when full", func(t *testing.T) {
+		is, s := is.New(t), newSite(t, 1)
+		is.True(errors.Is(s.submit("a", eelgrassbeam.RankUrgent, 0).err, ErrDeadline))
+		for range queueLimit + 1 {
+			is.NoErr(s.submit("a", eelgrassbeam.RankUrgent, time.Second).err)
+		}
+		is.True(errors.Is(s.submit("a", eelgrassbeam.RankUrgent, time.Second).err, ErrQueueFull))
+		waiting := s.submit("a", eelgrassbeam.RankStandard, time.Second)
+		s.SetUpstreams(nil)
+		is.True(errors.Is(waiting.err, ErrNoUpstream))
+		is.True(errors.Is(s.submit("a", eelgrassbeam.RankUrgent, time.Second).err, ErrNoUpstream))
+		s.Close()
+		is.True(errors.Is(s.submit("a", eelgrassbeam.RankUrgent, time.Second).err, ErrClosed))
+	})
+	t.Run("refuses early what would wait too long", func(t *testing.T) {
+		for _, off := range []bool{false, true} {
+			is, s := is.New(t), newSite(t, 1)
+			s.guards.noEarlyRefusal = off
+			s.service.add(100 * time.Millisecond)
+			for range 4 {
+				is.NoErr(s.submit("a", eelgrassbeam.RankUrgent, time.Second).err)
+			}
+			err := s.submit("a", eelgrassbeam.RankUrgent, 300*time.Millisecond).err
+			is.Equal(errors.Is(err, ErrDeadline), !off)
+		}
+	})
+}
+
+func TestFairness(t *testing.T) {
+	t.Run("a full queue drops the newest of the longest customer", func(t *testing.T) {
+		for _, off := range []bool{false, true} {
+			is, s := is.New(t), newSite(t, 1)
+			s.guards.noFairness = off
+			var last *answer
+			for range queueLimit + 1 {
+				last = s.submit("a", eelgrassbeam.RankUrgent, time.Second)
+			}
+			newcomer := s.submit("b", eelgrassbeam.RankUrgent, time.Second)
+			is.Equal(errors.Is(newcomer.err, ErrQueueFull), off)
+			is.Equal(errors.Is(last.err, ErrQueueFull), !off)
+		}
+	})
+	t.Run("customers are served by weight", func(t *testing.T) {
+		is := is.New(t)
+		q := newFairQueue(1000, map[eelgrassbeam.CustomerID]float64{"b": 0.02, "c": 0.04})
+		for range 100 {
+			for _, id := range []eelgrassbeam.CustomerID{"b", "c"} {
+				q.push(&Ticket{request: request(id, eelgrassbeam.RankUrgent)}, true)
+			}
+		}
+		served := make(map[eelgrassbeam.CustomerID]int)
+		for range 90 {
+			served[q.pop().request.Customer]++
+		}
+		is.Equal(served["b"], 30)
+		is.Equal(served["c"], 60)
+	})
+	t.Run("new customers do not starve a waiting one", func(t *testing.T) {
+		is := is.New(t)
+		q := newFairQueue(1000, nil)
+		for range 2 {
+			q.push(&Ticket{request: request("a", eelgrassbeam.RankUrgent)}, true)
+		}
+		served := 0
+		for i := range 10 {
+			q.push(&Ticket{request: request(eelgrassbeam.CustomerID(fmt.Sprint(i)), eelgrassbeam.RankUrgent)}, true)
+			if q.pop().request.Customer == "a" {
+				served++
+			}
+		}
+		is.Equal(served, 2)
+	})
+}
+
+const (
+	queueLimit = 16
+	step       = 10 * time.Millisecond
+)
+
+type site struct {
+	*Admitter
+	clock *clockwork.FakeClock
+}
+
+type answer struct {
+	slot *Slot
+	err  error
+}
+
+func newSite(t *testing.T, slots ...int) *site {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	service := eelgrassbeam.Service{Name: "booking"}
+	for i, rank := range eelgrassbeam.Ranks() {
+		service.Ranks = append(service.Ranks, eelgrassbeam.RankPolicy{
+			Rank: rank, Floor: []float64{0, 0.2, 0.1}[i], QueueLimit: queueLimit, Deadline: eelgrassbeam.Seconds(1),
+		})
+	}
+	s := &site{Admitter: New(Config{Service: service, Clock: clock, WaitShare: 1}), clock: clock}
+	s.SetUpstreams(upstreams(slots...))
+	return s
+}
+
+func upstreams(slots ...int) []UpstreamSlots {
+	var set []UpstreamSlots
+	for i, n := range slots {
+		id := eelgrassbeam.UpstreamID(fmt.Sprintf("u%d", i))
+		set = append(set, UpstreamSlots{Upstream: eelgrassbeam.Upstream{ID: id, State: eelgrassbeam.InstanceLive}, Slots: n})
+	}
+	return set
+}
+
+func request(customer eelgrassbeam.CustomerID, rank eelgrassbeam.Rank) eelgrassbeam.Request {
+	return eelgrassbeam.Request{ID: "r", Customer: customer, Rank: rank, Attempt: 1}
+}
+
+func (s *site) in(d time.Duration) time.Time { return s.clock.Now().Add(d) }
+
+func (s *site) submit(customer eelgrassbeam.CustomerID, rank eelgrassbeam.Rank, left time.Duration) *answer {
+	got := &answer{}
+	s.Submit(request(customer, rank), s.in(left), func(slot *Slot, err error) { got.slot, got.err = slot, err })
+	return got
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	clock := clockwork.NewRealClock()
+	service := eelgrassbeam.Service{Name: "booking", Ranks: []eelgrassbeam.RankPolicy{{Rank: eelgrassbeam.RankUrgent, QueueLimit: queueLimit}}}
+	a := New(Config{Service: service, Clock: clock})
+	a.SetUpstreams(upstreams(3, 3, 3))
+	r := request("a", eelgrassbeam.RankUrgent)
+	for b.Loop() {
+		slot, err := a.Admit(b.Context(), r, clock.Now().Add(time.Second))
+		if err != nil {
+			b.Fatal(err)
+		}
+		slot.Release(Result{Outcome: OutcomeOK, Duration: time.Millisecond})
+	}
+}
