Share the claims' writes among the live entries

Cause: keyed confirmations waited for their claims: urgent p99 743 ms in make demo at a p50 of 8 ms. Two limits stood in a row: 5 writes a second an entry, and 20 calls a second a process at the platform's client. The fleet writes at most 200 objects a second whatever its size.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -17,7 +17,10 @@
 
 const (
 	defaultWindow          = 10 * time.Minute
-	defaultWritesPerSecond = 5
+	// fleetWritesPerSecond bounds the claims' writes of all entries together.
+	fleetWritesPerSecond = 200
+	// entryWritesPerSecond bounds those of one entry of a small fleet.
+	entryWritesPerSecond = 40
 	defaultCapacity        = 100_000
 	defaultReplyBytes      = 8 << 20
 
@@ -44,7 +47,7 @@
 	Clock         eelgrassbeam.Clock
 	Log           logrus.FieldLogger
 	Registerer    prometheus.Registerer
-	// WritesPerSecond bounds this entry's writes of claims.
+	// WritesPerSecond bounds this entry's writes of claims; 0 for an equal share of the fleet's.
 	WritesPerSecond float64
 	// Capacity bounds the number of keys remembered.
 	Capacity int
@@ -72,9 +75,6 @@
 
 // New returns a keeper that remembers nothing yet; Run serves its claims.
 func New(config Config) *Keeper {
-	if config.WritesPerSecond <= 0 {
-		config.WritesPerSecond = defaultWritesPerSecond
-	}
 	if config.Capacity <= 0 {
 		config.Capacity = defaultCapacity
 	}
@@ -84,7 +84,7 @@
 	k := &Keeper{
 		config:  config,
 		metrics: newMetrics(config.Registerer),
-		limiter: rate.NewLimiter(rate.Limit(config.WritesPerSecond), max(1, int(config.WritesPerSecond))),
+		limiter: rate.NewLimiter(entryWritesPerSecond, entryWritesPerSecond),
 		table: &table{
 			clock: config.Clock, capacity: config.Capacity, replyBytes: config.ReplyBytes, records: make(map[scope]*record),
 		},
@@ -92,9 +92,36 @@
 	for bucket := range k.committers {
 		k.committers[bucket] = k.newCommitter(bucket)
 	}
+	if config.WritesPerSecond > 0 {
+		k.setRate(config.WritesPerSecond)
+	}
+	k.shareWrites()
 	return k
 }
 
+// setRate bounds this entry's writes to so many a second.
+func (k *Keeper) setRate(perSecond float64) {
+	k.limiter.SetLimitAt(k.config.Clock.Now(), rate.Limit(perSecond))
+	k.limiter.SetBurstAt(k.config.Clock.Now(), max(1, int(perSecond)))
+}
+
+// shareWrites follows the number of live entries, unless the rate is configured.
+func (k *Keeper) shareWrites() {
+	if k.config.WritesPerSecond <= 0 {
+		k.setRate(min(entryWritesPerSecond, fleetWritesPerSecond/float64(max(1, k.liveEntries()))))
+	}
+}
+
+func (k *Keeper) liveEntries() int {
+	n := 0
+	for _, entry := range k.config.Fleet.Fleet().Entries {
+		if entry.State == eelgrassbeam.InstanceLive {
+			n++
+		}
+	}
+	return n
+}
+
 func (k *Keeper) newCommitter(bucket int) *committer {
 	return &committer{
 		keeper: k, bucket: bucket, in: make(chan pending, queueLimit),
@@ -119,6 +146,7 @@
 				return nil
 			case <-k.config.Clock.After(sweepInterval):
 				k.metrics.keys.Set(float64(k.table.expire(k.window())))
+				k.shareWrites()
 			}
 		}
 	})
