Add the relayer: zone watchers, trees, comparison and the in-force report

Two entries a zone watch the platform and push deltas down a tree of fan-out 4; each entry compares versions with a peer a second and pulls what it lacks. A silent watch is found by a short call every 3 s; with that off the test sees the version missing, with it on it arrives.

--- a/monitor/service.go
+++ b/monitor/service.go
@@ -39,7 +39,9 @@
 // snapshot holds what the asker's digest lacks.
 type snapshot struct {
 	Roster *eelgrassbeam.InstanceList `json:"roster,omitempty"`
-	States []EntryState               `json:"states,omitempty"`
+	// Deltas are sent in place of the roster where they lead to it.
+	Deltas []RosterDelta `json:"deltas,omitempty"`
+	States []EntryState  `json:"states,omitempty"`
 }
 
 func (m *Monitor) heard(_ context.Context, message *heartbeat) (*ack, error) {
@@ -74,8 +76,11 @@
 	ours := m.view.digest()
 	reply := &snapshot{}
 	if ours.Roster != theirs.Roster && ours.Revision >= theirs.Revision && m.view.known {
-		list := m.view.roster.list()
-		reply.Roster = &list
+		reply.Deltas = m.view.deltasFrom(theirs.Roster)
+		if reply.Deltas == nil {
+			list := m.view.roster.list()
+			reply.Roster = &list
+		}
 	}
 	if ours.States != theirs.States || ours.Roster != theirs.Roster {
 		reply.States = m.view.listedStates()
@@ -104,6 +109,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	isChanged := reply.Roster != nil && m.view.replaceRoster(newRoster(*reply.Roster))
+	for _, delta := range reply.Deltas {
+		next, err := m.view.roster.apply(delta)
+		if err != nil {
+			break
+		}
+		isChanged = m.view.replaceRoster(next) || isChanged
+	}
 	fresh := m.view.merge(reply.States, m.config.Clock.Now())
 	m.logStates(fresh, "pulled")
 	if isChanged || len(fresh) > 0 {
--- a/monitor/view.go
+++ b/monitor/view.go
@@ -15,6 +15,8 @@
 	roster *Roster
 	// known tells that a roster has been read or pulled.
 	known bool
+	// deltas lead to the roster, oldest first, as far as they are known.
+	deltas []RosterDelta
 	// isListed tells that the platform has listed this entry once; it leaves when it is listed no more.
 	isListed bool
 	states   map[eelgrassbeam.EntryID]EntryState
@@ -60,6 +62,9 @@
 	v.known = true
 	_, ok := roster.rows[string(v.self.ID)]
 	v.isListed = v.isListed || ok
+	if isChanged {
+		v.remember(v.roster.deltaTo(roster))
+	}
 	v.roster = roster
 	for id := range v.states {
 		if _, ok := roster.rows[string(id)]; !ok && id != v.self.ID {
@@ -70,6 +75,31 @@
 	return isChanged
 }
 
+// remember keeps the latest deltas for peers that lag a little.
+func (v *view) remember(delta RosterDelta) {
+	v.deltas = append(v.deltas, delta)
+	if len(delta.Changed) > maxDeltaRows {
+		v.deltas = nil
+	}
+	if len(v.deltas) > maxDeltas {
+		v.deltas = slices.Clone(v.deltas[1:])
+	}
+}
+
+// deltasFrom returns what leads from the roster of the digest to the current one; nil where that is not known.
+func (v *view) deltasFrom(digest uint64) []RosterDelta {
+	i := slices.IndexFunc(v.deltas, func(d RosterDelta) bool { return d.Base == digest })
+	if i < 0 {
+		return nil
+	}
+	return slices.Clone(v.deltas[i:])
+}
+
+const (
+	maxDeltas    = 16
+	maxDeltaRows = 256
+)
+
 // digest covers the states of listed entries only, so that views of one roster can become equal.
 func (v *view) digest() Digest {
 	digest := Digest{Revision: v.roster.Revision, Roster: v.roster.Digest}
--- /dev/null
+++ b/relayer/delta.go
@@ -0,0 +1,128 @@
+package relayer
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// errOtherBase reports a delta that does not apply here; a snapshot is needed.
+var errOtherBase = errors.New("delta has another base")
+
+// update brings a configuration, whole or as a delta against an earlier version.
+type update struct {
+	Version uint64                      `json:"version"`
+	Whole   *eelgrassbeam.Configuration `json:"whole,omitempty"`
+	Delta   *delta                      `json:"delta,omitempty"`
+}
+
+// delta leads from one version of the configuration to another.
+type delta struct {
+	Base   uint64              `json:"base"`
+	Change eelgrassbeam.Change `json:"change"`
+	// Digest is that of the resulting configuration.
+	Digest uint64 `json:"digest"`
+	// Defaults are set if any changed, without the services.
+	Defaults *eelgrassbeam.Defaults   `json:"defaults,omitempty"`
+	Services []eelgrassbeam.Service   `json:"services,omitempty"`
+	Set      []eelgrassbeam.Exception `json:"set,omitempty"`
+	Removed  []string                 `json:"removed,omitempty"`
+}
+
+// diff returns the delta from base to next; false where only the whole brings next about.
+func diff(base, next *eelgrassbeam.Configuration) (*delta, bool) {
+	d := &delta{Base: base.Version, Change: next.Change, Digest: digestOf(*next)}
+	if !isEqual(withoutServices(base.Defaults), withoutServices(next.Defaults)) {
+		rest := withoutServices(next.Defaults)
+		d.Defaults = &rest
+	}
+	for _, service := range next.Defaults.Services {
+		if old, ok := base.Defaults.Service(service.Name); !ok || !isEqual(old, service) {
+			d.Services = append(d.Services, service)
+		}
+	}
+	old := make(map[string]eelgrassbeam.Exception, len(base.Exceptions))
+	for _, exception := range base.Exceptions {
+		old[exception.ID] = exception
+	}
+	for _, exception := range next.Exceptions {
+		if known, ok := old[exception.ID]; !ok || !isEqual(known, exception) {
+			d.Set = append(d.Set, exception)
+		}
+		delete(old, exception.ID)
+	}
+	for _, exception := range base.Exceptions {
+		if _, ok := old[exception.ID]; ok {
+			d.Removed = append(d.Removed, exception.ID)
+		}
+	}
+	_, err := d.apply(base, next.Version)
+	return d, err == nil
+}
+
+// apply returns the configuration that the delta leads to.
+func (d *delta) apply(base *eelgrassbeam.Configuration, version uint64) (eelgrassbeam.Configuration, error) {
+	if base.Version != d.Base {
+		return eelgrassbeam.Configuration{}, errOtherBase
+	}
+	defaults := base.Defaults
+	if d.Defaults != nil {
+		defaults = *d.Defaults
+	}
+	defaults.Services = replace(base.Defaults.Services, d.Services, nil, func(s eelgrassbeam.Service) string { return string(s.Name) })
+	exceptions := replace(base.Exceptions, d.Set, d.Removed, func(e eelgrassbeam.Exception) string { return e.ID })
+	next := base.WithVersion(version).WithChange(d.Change).WithDefaults(defaults).WithExceptions(exceptions)
+	if digestOf(next) != d.Digest {
+		return eelgrassbeam.Configuration{}, errOtherBase
+	}
+	return next, nil
+}
+
+// replace returns the items with those of the same key replaced, the removed ones left out and the new ones at the end.
+func replace[T any](items, set []T, removed []string, key func(T) string) []T {
+	var result []T
+	for _, item := range items {
+		if slices.Contains(removed, key(item)) {
+			continue
+		}
+		if i := slices.IndexFunc(set, func(s T) bool { return key(s) == key(item) }); i >= 0 {
+			item = set[i]
+		}
+		result = append(result, item)
+	}
+	for _, item := range set {
+		if !slices.ContainsFunc(items, func(old T) bool { return key(old) == key(item) }) {
+			result = append(result, item)
+		}
+	}
+	return result
+}
+
+func withoutServices(defaults eelgrassbeam.Defaults) eelgrassbeam.Defaults {
+	defaults.Services = nil
+	return defaults
+}
+
+// digestOf covers all that is in force, whether its lists are nil or empty.
+func digestOf(configuration eelgrassbeam.Configuration) uint64 {
+	configuration = configuration.WithRecentChanges(nil)
+	if len(configuration.Exceptions) == 0 {
+		configuration.Exceptions = nil
+	}
+	return xxhash.Sum64(encode(configuration))
+}
+
+func isEqual[T any](a, b T) bool { return slices.Equal(encode(a), encode(b)) }
+
+// encode returns the JSON of a value that has been decoded before and so always encodes.
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return data
+}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,217 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/changer"
+	"github.com/eelgrassbeam/eelgrassbeam/holder"
+	"github.com/eelgrassbeam/eelgrassbeam/peer"
+	"github.com/eelgrassbeam/eelgrassbeam/storefake"
+)
+
+const patience = 30 * time.Second
+
+// fleetSource is a view that the test sets.
+type fleetSource struct {
+	current atomic.Pointer[eelgrassbeam.Fleet]
+}
+
+func (f *fleetSource) Fleet() *eelgrassbeam.Fleet { return f.current.Load() }
+
+// cluster runs relayers over loopback connections and one store.
+type cluster struct {
+	*testing.T
+	store eelgrassbeam.Store
+	fleet fleetSource
+	nodes []*node
+	setup func(*Relayer)
+}
+
+type node struct {
+	*Relayer
+	stop func()
+}
+
+func startCluster(t *testing.T, store eelgrassbeam.Store, zones, perZone int, setup func(*Relayer)) *cluster {
+	t.Helper()
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	c := &cluster{T: t, store: store, setup: setup}
+	fleet := &eelgrassbeam.Fleet{Revision: 1}
+	var listeners []net.Listener
+	for zone := range zones {
+		for n := range perZone {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.New(t).NoErr(err)
+			listeners = append(listeners, listener)
+			fleet.Entries = append(fleet.Entries, eelgrassbeam.Entry{
+				ID: eelgrassbeam.EntryID(fmt.Sprintf("e%d-%02d", zone, n)), Zone: eelgrassbeam.ZoneID(fmt.Sprint("z", zone)), Region: "r0",
+				PeerAddress: netip.MustParseAddrPort(listener.Addr().String()), State: eelgrassbeam.InstanceLive,
+			})
+		}
+	}
+	c.fleet.current.Store(fleet)
+	for i, listener := range listeners {
+		c.nodes = append(c.nodes, c.start(fleet.Entries[i], listener))
+	}
+	return c
+}
+
+func (c *cluster) start(self eelgrassbeam.Entry, listener net.Listener) *node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	clock := clockwork.NewRealClock()
+	pool, server := peer.NewPool(peer.PoolConfig{}), peer.NewServer(nil)
+	n := &node{Relayer: New(Config{
+		Self: self, Holder: holder.New(holder.Config{Clock: clock, Log: log}), Fleet: &c.fleet, Store: c.store, Pool: pool, Clock: clock, Log: log,
+	})}
+	if c.setup != nil {
+		c.setup(n.Relayer)
+	}
+	n.Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	group.Go(func() { _ = n.Run(ctx) })
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		server.Stop()
+		pool.Close()
+		group.Wait()
+	})
+	c.Cleanup(n.stop)
+	return n
+}
+
+// change stores a configuration with one more exception and returns its version.
+func change(t *testing.T, store eelgrassbeam.Store, id int) uint64 {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	stored, err := changer.New(changer.Config{Store: store, Clock: clockwork.NewRealClock(), Log: log}).Change(t.Context(),
+		func(c eelgrassbeam.Configuration) (eelgrassbeam.Configuration, error) {
+			if c.Version == 0 {
+				c = configuration(0)
+			}
+			return c.WithExceptions(append(c.Exceptions[:len(c.Exceptions):len(c.Exceptions)], exception(id, "u1"))), nil
+		}, "ana", "")
+	is.New(t).NoErr(err)
+	return stored.Version
+}
+
+func (c *cluster) checkInForce(version uint64) {
+	c.Helper()
+	ctx, cancel := context.WithTimeout(c.Context(), patience)
+	defer cancel()
+	for _, n := range c.nodes {
+		is.New(c.T).NoErr(n.config.Holder.Await(ctx, version))
+	}
+}
+
+func TestSpread(t *testing.T) {
+	for _, perZone := range []int{3, 16} {
+		t.Run(fmt.Sprint(perZone, " entries a zone"), func(t *testing.T) {
+			store := storefake.New()
+			first := change(t, store, 0)
+			c := startCluster(t, store, 2, perZone, nil)
+			c.checkInForce(first)
+			for i := range 5 {
+				c.checkInForce(change(t, store, i+1))
+			}
+			report := c.nodes[0].InForce(t.Context(), 0)
+			is := is.New(t)
+			is.True(report.IsComplete())
+			is.Equal(report.Live, 2*perZone)
+			calls := 0
+			store.Set(func(s *storefake.Store) { calls = s.Calls["watch"] + s.Calls["list"] })
+			// Two watchers in each of two zones: one list and one watch a change, and a comparison every three seconds.
+			is.True(calls < 60)
+		})
+	}
+}
+
+// silentStore never answers a long watch.
+type silentStore struct{ *storefake.Store }
+
+func (s silentStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (eelgrassbeam.ObjectEvents, error) {
+	if wait < time.Second {
+		return s.Store.Watch(ctx, kind, after, wait)
+	}
+	<-ctx.Done()
+	return eelgrassbeam.ObjectEvents{}, eelgrassbeam.ErrUnavailable
+}
+
+func TestSilentWatch(t *testing.T) {
+	t.Run("found by comparison", func(t *testing.T) {
+		store := silentStore{Store: storefake.New()}
+		first := change(t, store, 0)
+		c := startCluster(t, store, 2, 3, nil)
+		c.checkInForce(first)
+		c.checkInForce(change(t, store, 1))
+	})
+	t.Run("not found with the guard off", func(t *testing.T) {
+		store := silentStore{Store: storefake.New()}
+		first := change(t, store, 0)
+		c := startCluster(t, store, 2, 3, func(r *Relayer) { r.skipsVerify = true })
+		c.checkInForce(first)
+		change(t, store, 1)
+		timeout := time.After(patience)
+		for testutil.ToFloat64(c.nodes[0].metrics.comparisons.WithLabelValues("ok")) < 6 {
+			select {
+			case <-time.After(50 * time.Millisecond):
+			case <-timeout:
+				t.Fatal("no comparisons")
+			}
+		}
+		version, _ := c.nodes[0].config.Holder.InForce()
+		is.New(t).Equal(version, first)
+	})
+}
+
+func TestStartWithoutPlatform(t *testing.T) {
+	is := is.New(t)
+	store := storefake.New()
+	version := change(t, store, 0)
+	c := startCluster(t, store, 1, 4, nil)
+	c.checkInForce(version)
+	store.Set(func(s *storefake.Store) { s.Down = true })
+	c.nodes[0].stop()
+	listener, err := net.Listen("tcp", c.nodes[0].config.Self.PeerAddress.String())
+	is.NoErr(err)
+	c.nodes[0] = c.start(c.nodes[0].config.Self, listener)
+	is.True(!c.nodes[0].Ready())
+	c.checkInForce(version)
+	is.True(c.nodes[0].Ready())
+}
+
+func TestReportNamesMissing(t *testing.T) {
+	is := is.New(t)
+	store := storefake.New()
+	version := change(t, store, 0)
+	c := startCluster(t, store, 2, 3, nil)
+	c.checkInForce(version)
+	c.nodes[4].stop()
+	report := c.nodes[0].InForce(t.Context(), version)
+	is.Equal(report.Live, 6)
+	is.Equal(report.InForce, 5)
+	is.Equal(len(report.Missing), 1)
+	is.Equal(report.Missing[0].Entry, c.nodes[4].config.Self.ID)
+	is.True(!report.Missing[0].Reached)
+	report = c.nodes[0].InForce(t.Context(), version+1)
+	is.Equal(report.InForce, 0)
+	is.True(report.Missing[0].Reached && report.Missing[0].Version == version)
+}
--- /dev/null
+++ b/relayer/report.go
@@ -0,0 +1,184 @@
+package relayer
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/assigner"
+)
+
+const (
+	reportWorkers = 16
+	// delegateTries is how many entries of a zone are asked for its report.
+	delegateTries = 3
+)
+
+// Missing is a live entry that does not have the wanted version in force.
+type Missing struct {
+	Entry eelgrassbeam.EntryID `json:"entry"`
+	Zone  eelgrassbeam.ZoneID  `json:"zone"`
+	// Reached tells whether the entry answered; Version and For are zero if not.
+	Reached bool   `json:"reached"`
+	Version uint64 `json:"version"`
+	// For is how long the entry has had its version in force.
+	For eelgrassbeam.Duration `json:"for"`
+}
+
+// Report tells on how many of the live entries a version, or a higher one, is in force.
+type Report struct {
+	Version uint64 `json:"version"`
+	Live    int    `json:"live"`
+	InForce int    `json:"in_force"`
+	// Missing are the others, sorted by ID.
+	Missing []Missing `json:"missing,omitempty"`
+}
+
+// IsComplete tells whether the version is in force on all live entries.
+func (r Report) IsComplete() bool { return r.Live > 0 && r.InForce == r.Live }
+
+// merge returns the sum of both reports.
+func (r Report) merge(other Report) Report {
+	r.Live += other.Live
+	r.InForce += other.InForce
+	r.Missing = append(slices.Clone(r.Missing), other.Missing...)
+	slices.SortFunc(r.Missing, func(a, b Missing) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
+	return r
+}
+
+type versionRequest struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+type versionReply struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	For     eelgrassbeam.Duration
+}
+
+// zoneRequest asks an entry of a zone to ask the others.
+type zoneRequest struct {
+	Version uint64 `json:"version"`
+	// Digest is that of the zone's live entries in the asker's view.
+	Digest uint64 `json:"digest"`
+	// Entries are set where the views differ.
+	Entries []eelgrassbeam.Entry `json:"entries,omitempty"`
+}
+
+type zoneReply struct {
+	Report Report `json:"report"`
+	// IsOtherView tells that nothing was asked since the views differ.
+	IsOtherView bool `json:"is_other_view,omitempty"`
+}
+
+// InForce asks on which live entries the version is in force, through one entry a zone; zero asks for the version in force here.
+func (r *Relayer) InForce(ctx context.Context, version uint64) Report {
+	if version == 0 {
+		version, _ = r.config.Holder.InForce()
+	}
+	zones := make(map[eelgrassbeam.ZoneID][]eelgrassbeam.Entry)
+	for _, entry := range assigner.Live(r.config.Fleet.Fleet(), nil) {
+		zones[entry.Zone] = append(zones[entry.Zone], entry)
+	}
+	var (
+		mu     sync.Mutex
+		group  errgroup.Group
+		report = Report{Version: version}
+	)
+	group.SetLimit(reportWorkers)
+	for _, members := range zones {
+		group.Go(func() error {
+			part := r.askZone(ctx, version, members)
+			mu.Lock()
+			defer mu.Unlock()
+			report = report.merge(part)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return report
+}
+
+// askZone asks entries of the zone in turn for its report; where none answers, all are missing.
+func (r *Relayer) askZone(ctx context.Context, version uint64, members []eelgrassbeam.Entry) Report {
+	candidates := assigner.Rank("report/"+string(r.config.Self.ID), members)
+	for _, candidate := range candidates[:min(len(candidates), delegateTries)] {
+		request := &zoneRequest{Version: version, Digest: digestIDs(members)}
+		reply, err := call[zoneReply](ctx, r, candidate, methodZone, request)
+		if err == nil && reply.IsOtherView {
+			request.Entries = members
+			reply, err = call[zoneReply](ctx, r, candidate, methodZone, request)
+		}
+		if err == nil && reply.Report.Live == len(members) {
+			return reply.Report
+		}
+	}
+	report := Report{Version: version, Live: len(members)}
+	for _, entry := range members {
+		report.Missing = append(report.Missing, Missing{Entry: entry.ID, Zone: entry.Zone})
+	}
+	return report
+}
+
+// askedZone asks each of the zone's entries for its version.
+func (r *Relayer) askedZone(ctx context.Context, request *zoneRequest) (*zoneReply, error) {
+	members := request.Entries
+	if len(members) == 0 {
+		members = r.zoneMembers(r.config.Self.Zone)
+		if digestIDs(members) != request.Digest {
+			return &zoneReply{IsOtherView: true}, nil
+		}
+	}
+	answers := make([]Report, len(members))
+	var group errgroup.Group
+	group.SetLimit(reportWorkers)
+	for i, entry := range members {
+		group.Go(func() error {
+			answers[i] = r.askEntry(ctx, request.Version, entry)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	report := Report{Version: request.Version}
+	for _, answer := range answers {
+		report = report.merge(answer)
+	}
+	return &zoneReply{Report: report}, nil
+}
+
+func (r *Relayer) askEntry(ctx context.Context, version uint64, entry eelgrassbeam.Entry) Report {
+	report := Report{Version: version, Live: 1}
+	reply, err := call[versionReply](ctx, r, entry, methodVersion, &versionRequest{})
+	if err != nil {
+		report.Missing = []Missing{{Entry: entry.ID, Zone: entry.Zone}}
+		return report
+	}
+	if reply.Version >= version && version > 0 {
+		report.InForce = 1
+		return report
+	}
+	report.Missing = []Missing{{Entry: entry.ID, Zone: entry.Zone, Reached: true, Version: reply.Version, For: reply.For}}
+	return report
+}
+
+func (r *Relayer) askedVersion(context.Context, *versionRequest) (*versionReply, error) {
+	version, since := r.config.Holder.InForce()
+	reply := &versionReply{Version: version}
+	if version > 0 {
+		reply.For.Duration = max(0, r.config.Clock.Now().Sub(since))
+	}
+	return reply, nil
+}
+
+func digestIDs(entries []eelgrassbeam.Entry) uint64 {
+	digest := uint64(len(entries))
+	for _, entry := range entries {
+		digest ^= xxhash.Sum64String(string(entry.ID))
+	}
+	return digest
+}
--- /dev/null
+++ b/relayer/tree.go
@@ -0,0 +1,134 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/assigner"
+	"github.com/eelgrassbeam/eelgrassbeam/monitor"
+	"github.com/eelgrassbeam/eelgrassbeam/peer"
+)
+
+// FanOut is the number of children of each node of a tree.
+const FanOut = 4
+
+// scope names whom a push reaches.
+type scope string
+
+const (
+	// scopeZone reaches the zone's live entries.
+	scopeZone scope = "zone"
+	// scopeFleet reaches one live entry of each zone, which each begin a push in their zone.
+	scopeFleet scope = "fleet"
+)
+
+// push carries news down a tree. Each receiver works out its children from its own view, the root and the key.
+type push struct {
+	From eelgrassbeam.EntryID `json:"from"`
+	Root eelgrassbeam.EntryID `json:"root"`
+	// Key spreads the inner places of the trees over the entries.
+	Key           uint64        `json:"key"`
+	Scope         scope         `json:"scope"`
+	Configuration *update       `json:"configuration,omitempty"`
+	News          *monitor.News `json:"news,omitempty"`
+}
+
+// Validate checks what the receiver relies on.
+func (p push) Validate() error {
+	isScope := p.Scope == scopeZone || p.Scope == scopeFleet
+	if p.From == "" || p.Root == "" || !isScope || p.Configuration != nil && p.Configuration.Version == 0 {
+		return fmt.Errorf("%w: push from %q", eelgrassbeam.ErrInvalid, p.From)
+	}
+	return nil
+}
+
+// order returns the nodes of the push's tree, the root first; the children of node i are nodes FanOut*i+1 and on.
+func order(fleet *eelgrassbeam.Fleet, message push, zone eelgrassbeam.ZoneID) []eelgrassbeam.Entry {
+	key := fmt.Sprintf("tree/%s/%d", message.Root, message.Key)
+	var nodes []eelgrassbeam.Entry
+	if message.Scope == scopeZone {
+		nodes = assigner.Live(fleet, func(e eelgrassbeam.Entry) bool { return e.Zone == zone })
+	} else {
+		nodes = delegates(fleet, key)
+	}
+	root, isKnown := fleet.Entry(message.Root)
+	nodes = slices.DeleteFunc(nodes, func(e eelgrassbeam.Entry) bool {
+		return e.ID == message.Root || message.Scope == scopeFleet && isKnown && e.Zone == root.Zone
+	})
+	return append([]eelgrassbeam.Entry{{ID: message.Root}}, assigner.Rank(key, nodes)...)
+}
+
+// delegates returns one live entry of each zone.
+func delegates(fleet *eelgrassbeam.Fleet, key string) []eelgrassbeam.Entry {
+	zones := make(map[eelgrassbeam.ZoneID][]eelgrassbeam.Entry)
+	for _, entry := range assigner.Live(fleet, nil) {
+		zones[entry.Zone] = append(zones[entry.Zone], entry)
+	}
+	var chosen []eelgrassbeam.Entry
+	for _, members := range zones {
+		if entry, ok := assigner.First(key, members); ok {
+			chosen = append(chosen, entry)
+		}
+	}
+	return chosen
+}
+
+// forward sends the message to this entry's children in the tree.
+func (r *Relayer) forward(ctx context.Context, message push) {
+	nodes := order(r.config.Fleet.Fleet(), message, r.config.Self.Zone)
+	i := slices.IndexFunc(nodes, func(e eelgrassbeam.Entry) bool { return e.ID == r.config.Self.ID })
+	if i < 0 {
+		return
+	}
+	message.From = r.config.Self.ID
+	r.sendChildren(ctx, nodes, i, message)
+}
+
+// sendChildren sends to the children of node i, and to theirs where a child does not answer.
+func (r *Relayer) sendChildren(ctx context.Context, nodes []eelgrassbeam.Entry, i int, message push) {
+	var group errgroup.Group
+	for child := FanOut*i + 1; child <= FanOut*i+FanOut && child < len(nodes); child++ {
+		group.Go(func() error {
+			if nodes[child].ID == r.config.Self.ID || r.send(ctx, nodes[child], message) != nil {
+				r.sendChildren(ctx, nodes, child, message)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (r *Relayer) send(ctx context.Context, to eelgrassbeam.Entry, message push) error {
+	_, err := call[pushReply](ctx, r, to, methodPush, &message)
+	r.metrics.pushes.WithLabelValues(resultOf(err)).Inc()
+	return err
+}
+
+// call makes a bounded call to the entry; a connection on which it timed out is closed.
+func call[Response, Request any](ctx context.Context, r *Relayer, to eelgrassbeam.Entry, method string, request *Request) (*Response, error) {
+	conn, err := r.config.Pool.Conn(to.PeerAddress)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s to %s: %w", eelgrassbeam.ErrUnavailable, method, to.ID, err)
+	}
+	timeout := callTimeout
+	if method == methodPull || method == methodZone {
+		timeout = pullTimeout
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, err := peer.Call[Response](bounded, conn, Service, method, request)
+	if err == nil {
+		return response, nil
+	}
+	if ctx.Err() == nil && (errors.Is(err, context.DeadlineExceeded) || status.Code(err) == codes.DeadlineExceeded) {
+		r.config.Pool.Evict(to.PeerAddress, conn)
+	}
+	return nil, fmt.Errorf("%w: %s to %s: %w", eelgrassbeam.ErrUnavailable, method, to.ID, err)
+}
