Add the placer of client blocks on entries

Cause: callers ask which entries to use, and a lost entry must move only its own blocks. Weighted rendezvous hashing over the usable entries of the nearest region, with fallbacks in another zone and, from three entries on, another region. Ruled out: a hierarchy of zones weighted by their number of entries, since a lost entry then changes its zone's weight and moves blocks of its neighbours.

--- /dev/null
+++ b/placer/pick.go
@@ -0,0 +1,117 @@
+package placer
+
+import (
+	"math"
+	"slices"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+const (
+	// maxPicks bounds the entries of one answer.
+	maxPicks = 16
+	// maxSpreadZones bounds the zones of a region that fallbacks are spread over first.
+	maxSpreadZones = 16
+	// minPicksForRegion is the length of an answer from which its last entry lies in another region.
+	minPicksForRegion = 3
+)
+
+// ranking holds the best candidates so far in order of score.
+type ranking struct {
+	indexes [maxPicks]int
+	scores  [maxPicks]float64
+	length  int
+	limit   int
+}
+
+// pick returns up to want entries of the region in the block's order: the first
+// choice, the best of each other zone, then the rest. Where the region has too
+// few, and at the end of a long answer, an entry of another region follows.
+func (t *table) pick(region *regionTable, block uint64, want int) []eelgrassbeam.Entry {
+	want = min(max(want, 1), maxPicks)
+	picked := make([]eelgrassbeam.Entry, 0, want)
+	other := t.elsewhere(region, block)
+	local := want
+	if other != nil && want >= minPicksForRegion {
+		local--
+	}
+	picked = region.pick(picked, block, local)
+	if other != nil {
+		picked = other.pick(picked, block, want-len(picked))
+	}
+	return picked
+}
+
+// pick appends up to want entries of the region.
+func (r *regionTable) pick(picked []eelgrassbeam.Entry, block uint64, want int) []eelgrassbeam.Entry {
+	if want <= 0 {
+		return picked
+	}
+	overall, zones := r.rank(block, want)
+	var order ranking
+	order.limit = want
+	order.append(overall.indexes[0])
+	for _, i := range zones.indexes[:zones.length] {
+		order.append(i)
+	}
+	for _, i := range overall.indexes[:overall.length] {
+		order.append(i)
+	}
+	for _, i := range order.indexes[:order.length] {
+		picked = append(picked, r.entries[i])
+	}
+	return picked
+}
+
+// rank returns the best candidates overall and the best of each zone, in order of score.
+func (r *regionTable) rank(block uint64, want int) (overall, zones ranking) {
+	overall.limit, zones.limit = want, maxPicks
+	var best [maxSpreadZones]int
+	var scores [maxSpreadZones]float64
+	for i := range r.candidates {
+		c := &r.candidates[i]
+		score := r.score(c, block)
+		overall.add(i, score)
+		if c.zone < maxSpreadZones && (scores[c.zone] == 0 || score > scores[c.zone]) {
+			best[c.zone], scores[c.zone] = i, score
+		}
+	}
+	for zone := range min(r.zones, maxSpreadZones) {
+		zones.add(best[zone], scores[zone])
+	}
+	return overall, zones
+}
+
+// score is the weighted rendezvous score; without weights the plain hash gives the same order.
+func (r *regionTable) score(c *candidate, block uint64) float64 {
+	uniform := (float64(mix(c.hash, block)>>11) + 0.5) / (1 << 53)
+	if !r.weighted {
+		return uniform
+	}
+	return -c.weight / math.Log(uniform)
+}
+
+func (r *ranking) add(index int, score float64) {
+	if r.length == r.limit && score <= r.scores[r.length-1] {
+		return
+	}
+	at := r.length
+	if at == r.limit {
+		at--
+	} else {
+		r.length++
+	}
+	for ; at > 0 && r.scores[at-1] < score; at-- {
+		r.indexes[at], r.scores[at] = r.indexes[at-1], r.scores[at-1]
+	}
+	r.indexes[at], r.scores[at] = index, score
+}
+
+// append adds the index at the end unless it is there or the ranking is full.
+func (r *ranking) append(index int) {
+	if r.length == r.limit || slices.Contains(r.indexes[:r.length], index) {
+		return
+	}
+	r.indexes[r.length] = index
+	r.length++
+}
