Discard answers with a status that is no final one of HTTP

The fuzzer found an answer with status 700, which was passed on and then refused by the next receiver's check. It is discarded with its connection like any other unusable answer.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -13,6 +13,8 @@
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
+const maxStatus = 599
+
 // IsLeaving tells whether the upstream said in the reply that it takes no new work.
 func IsLeaving(reply eelgrassbeam.Reply) bool { return isTrue(reply.Header, HeaderLeaving) }
 
@@ -23,6 +25,9 @@
 	if err := c.checkEcho(response, request.ID, limits); err != nil {
 		return eelgrassbeam.Reply{}, err
 	}
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return eelgrassbeam.Reply{}, fmt.Errorf("%w: status %d", ErrStatus, response.StatusCode)
+	}
 	body, err := c.readBody(l, response, request.Method, limits.BodyBytes)
 	if err != nil {
 		return eelgrassbeam.Reply{}, err
@@ -52,9 +57,6 @@
 
 // readBody returns the whole body, or an error where its end can't be proved.
 func (c *Client) readBody(l *link, response *http.Response, method string, limit int64) ([]byte, error) {
-	if response.StatusCode < http.StatusOK {
-		return nil, fmt.Errorf("%w: status %d", ErrTruncated, response.StatusCode)
-	}
 	if isBodiless(response.StatusCode, method) {
 		return nil, nil
 	}
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -17,6 +17,8 @@
 	ErrCrossed = errors.New("answer is for another request")
 	// ErrTruncated reports an answer whose end can't be proved.
 	ErrTruncated = errors.New("answer is not whole")
+	// ErrStatus reports an answer whose status is no final one of HTTP.
+	ErrStatus = errors.New("answer has an unusable status")
 	// ErrTooLarge reports an answer above the body limit.
 	ErrTooLarge = errors.New("answer is too large")
 	// ErrShed reports that the upstream refused the request before running it.
