Relay configurations and place client blocks by rendezvous

Cause: each entry polled the configuration, which costs the platform a read a second an entry, and look-ups named all entries of a region to every caller. Ruled out: keeping the poll beside the relay; the relay's watchers verify and compare on their own. Before: one poll a second an entry. Status asks each zone for the versions in force. Conclusion: the calls' growth is still to measure.

--- a/caller/lookup.go
+++ b/caller/lookup.go
@@ -13,6 +13,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/gen/http/lookup/server"
 	"github.com/eelgrassbeam/eelgrassbeam/gen/lookup"
 	"github.com/eelgrassbeam/eelgrassbeam/logger"
+	"github.com/eelgrassbeam/eelgrassbeam/placer"
 )
 
 var (
@@ -27,7 +28,7 @@
 	Decisions     *logger.Logger
 	Fleet         eelgrassbeam.FleetSource
 	Configuration eelgrassbeam.ConfigurationSource
-	Placer        Placer
+	Placer        *placer.Placer
 	// Requests serves all other paths.
 	Requests http.Handler
 }
@@ -84,12 +85,12 @@
 	return answerOf(configuration, placement), nil
 }
 
-func answerOf(configuration *eelgrassbeam.Configuration, placement Placement) *lookup.LookupAnswer {
+func answerOf(configuration *eelgrassbeam.Configuration, placement placer.Placement) *lookup.LookupAnswer {
 	answer := &lookup.LookupAnswer{
 		TTLSeconds:           int(configuration.Defaults.LookupTTL.Seconds()),
 		ConfigurationVersion: configuration.Version,
 		Region:               string(placement.Region),
-		Reason:               placement.Reason,
+		Reason:               string(placement.Reason),
 	}
 	for _, entry := range placement.Entries {
 		answer.Entries = append(answer.Entries, &lookup.LookupEntry{
@@ -100,12 +101,12 @@
 }
 
 func (s *lookupService) decide(
-	client netip.Addr, fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, placement Placement,
+	client netip.Addr, fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, placement placer.Placement,
 ) {
 	s.config.Decisions.Record(logger.Decision{
 		Kind:     logger.KindPlacement,
 		Versions: logger.Versions{Configuration: configuration.Version, Fleet: fleet.Revision},
-		Choice:   string(placement.Entries[0].ID), Reason: placement.Reason,
+		Choice:   string(placement.Entries[0].ID), Reason: string(placement.Reason),
 		Fields: logger.Fields{
 			logger.Text("client", client.String()), logger.Text("region", placement.Region),
 			logger.Int("entries", len(placement.Entries)),
--- a/dispatcher/site.go
+++ b/dispatcher/site.go
@@ -167,6 +167,25 @@
 	return counter.(*atomic.Int64)
 }
 
+// IsLeaving tells whether the upstream said itself that it leaves.
+func (d *Dispatcher) IsLeaving(id eelgrassbeam.UpstreamID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.leaving[id]
+	return ok
+}
+
+// Loads returns the load of each site that the entry dispatches for.
+func (d *Dispatcher) Loads() map[eelgrassbeam.Site]eelgrassbeam.SiteLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	loads := make(map[eelgrassbeam.Site]eelgrassbeam.SiteLoad, len(d.sites))
+	for key, s := range d.sites {
+		loads[key] = s.queue.Load()
+	}
+	return loads
+}
+
 // Served counts the exchanges since the start.
 func (d *Dispatcher) Served() int64 { return d.served.Load() }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -16,13 +16,13 @@
 )
 
 const (
-	defaultWindow          = 10 * time.Minute
+	defaultWindow = 10 * time.Minute
 	// fleetWritesPerSecond bounds the claims' writes of all entries together.
 	fleetWritesPerSecond = 200
 	// entryWritesPerSecond bounds those of one entry of a small fleet.
 	entryWritesPerSecond = 40
-	defaultCapacity        = 100_000
-	defaultReplyBytes      = 8 << 20
+	defaultCapacity      = 100_000
+	defaultReplyBytes    = 8 << 20
 
 	gatherTime    = 3 * time.Millisecond
 	commitTimeout = 3 * time.Second
--- a/steerer/build.go
+++ b/steerer/build.go
@@ -19,8 +19,10 @@
 	"github.com/eelgrassbeam/eelgrassbeam/monitor"
 	"github.com/eelgrassbeam/eelgrassbeam/operator"
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
+	"github.com/eelgrassbeam/eelgrassbeam/placer"
 	"github.com/eelgrassbeam/eelgrassbeam/platform"
 	"github.com/eelgrassbeam/eelgrassbeam/recorder"
+	"github.com/eelgrassbeam/eelgrassbeam/relayer"
 	"github.com/eelgrassbeam/eelgrassbeam/securer"
 	"github.com/eelgrassbeam/eelgrassbeam/sender"
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
@@ -87,6 +89,10 @@
 		Self: s.self, Store: store, Pool: s.control, Clock: s.config.Clock, Log: s.config.Log,
 		Registerer: s.registry, Seeds: s.config.Seeds, Incarnation: s.incarnation,
 	})
+	s.relayer = relayer.New(relayer.Config{
+		Self: s.self, Holder: s.holder, Fleet: s.monitor, Members: s.monitor, Store: store, Pool: s.control,
+		Clock: s.config.Clock, Log: s.config.Log, Registerer: s.registry,
+	})
 	s.assigner = assigner.New(assigner.Config{
 		Self: s.self, Fleet: s.monitor, Terms: s.monitor, Pool: s.control, Clock: s.config.Clock,
 		InProgress: s.inProgress, Log: s.config.Log, Registerer: s.registry,
@@ -149,7 +155,7 @@
 	})
 	s.callers = &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, Handler: caller.NewLookup(caller.LookupConfig{
 		Self: s.self, Clock: s.config.Clock, Decisions: s.decisions, Fleet: s.monitor, Configuration: s.holder,
-		Placer: caller.HomePlacer{}, Requests: requests,
+		Placer: placer.New(placer.Config{Registerer: s.registry}), Requests: requests,
 	})}
 	s.operators = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: operator.New(operator.Config{
 		Backend: s, Log: s.config.Log, Clock: s.config.Clock, Health: http.HandlerFunc(s.serveHealth),
@@ -161,5 +167,6 @@
 	sender.Register(s.peers, s.dispatcher)
 	keeper.Register(s.peers, s.keys)
 	s.monitor.Register(s.peers)
+	s.relayer.Register(s.peers)
 	s.assigner.Register(s.peers)
 }
--- /dev/null
+++ b/steerer/report.go
@@ -0,0 +1,120 @@
+package steerer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/operator"
+	"github.com/eelgrassbeam/eelgrassbeam/relayer"
+)
+
+// Status implements operator.Backend. It asks the platform for the stored version and each zone for those in force.
+func (s *Steerer) Status(ctx context.Context) (operator.Status, error) {
+	configuration, ok := s.holder.Configuration()
+	if !ok {
+		configuration = &eelgrassbeam.Configuration{}
+	}
+	status := operator.Status{Reporter: s.self.ID, StoredVersion: configuration.Version}
+	if stored, err := s.changer.Read(ctx); err == nil {
+		status.StoredVersion, status.StoreReachable = max(stored.Version, configuration.Version), true
+	}
+	inForce := s.relayer.InForce(ctx, status.StoredVersion)
+	status.InForce, status.Live = inForce.InForce, inForce.Live
+	for _, missing := range inForce.Missing {
+		status.Missing = append(status.Missing, s.missing(missing))
+	}
+	fleet, now := s.monitor.Fleet(), s.config.Clock.Now()
+	status.Entries = entryStatuses(fleet, configuration, inForce, now)
+	for _, u := range fleet.Upstreams {
+		status.Upstreams = append(status.Upstreams, s.upstreamStatus(fleet, configuration, u, now))
+	}
+	status.Zones = s.zoneStatuses(fleet, configuration, now)
+	return status, nil
+}
+
+// missing tells how long the stored version has been in force here but not at the entry.
+func (s *Steerer) missing(m relayer.Missing) operator.Missing {
+	_, since := s.holder.InForce()
+	return operator.Missing{
+		Entry: m.Entry, Version: m.Version, For: eelgrassbeam.Duration{Duration: max(0, s.config.Clock.Now().Sub(since))},
+	}
+}
+
+func entryStatuses(
+	fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, inForce relayer.Report, now time.Time,
+) []operator.EntryStatus {
+	var statuses []operator.EntryStatus
+	for _, entry := range fleet.Entries {
+		status := operator.EntryStatus{
+			ID: entry.ID, Zone: entry.Zone, Region: entry.Region, State: entry.State,
+			Drained: configuration.IsEntryDrained(entry, now), Address: entry.Address, OperatorAddress: entry.OperatorAddress,
+		}
+		i := slices.IndexFunc(inForce.Missing, func(m relayer.Missing) bool { return m.Entry == entry.ID })
+		switch {
+		case i >= 0:
+			status.Version = inForce.Missing[i].Version
+		case entry.State == eelgrassbeam.InstanceLive:
+			status.Version = inForce.Version
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+func (s *Steerer) upstreamStatus(
+	fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, u eelgrassbeam.Upstream, now time.Time,
+) operator.UpstreamStatus {
+	owner, _ := s.assigner.Owner(fleet, eelgrassbeam.Site{Service: u.Service, Zone: u.Zone})
+	status := operator.UpstreamStatus{
+		ID: u.ID, Service: u.Service, Zone: u.Zone, Region: u.Region, State: u.State,
+		Drained: configuration.IsUpstreamDrained(u, now), Dispatcher: owner.ID,
+	}
+	if s.dispatcher.IsLeaving(u.ID) {
+		status.State = eelgrassbeam.InstanceLeaving
+	}
+	return status
+}
+
+// zoneStatuses counts what takes new work in each zone; loads are those of the sites that this entry dispatches for.
+func (s *Steerer) zoneStatuses(
+	fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, now time.Time,
+) []operator.ZoneStatus {
+	var zones []operator.ZoneStatus
+	zone := func(id eelgrassbeam.ZoneID, region eelgrassbeam.RegionID) *operator.ZoneStatus {
+		i := slices.IndexFunc(zones, func(z operator.ZoneStatus) bool { return z.Zone == id })
+		if i < 0 {
+			drained := configuration.IsSiteDrained(eelgrassbeam.LocatedSite{Site: eelgrassbeam.Site{Zone: id}, Region: region}, now)
+			zones = append(zones, operator.ZoneStatus{Zone: id, Region: region, Drained: drained})
+			i = len(zones) - 1
+		}
+		return &zones[i]
+	}
+	for _, entry := range fleet.Entries {
+		z := zone(entry.Zone, entry.Region)
+		if entry.State == eelgrassbeam.InstanceLive && !configuration.IsEntryDrained(entry, now) {
+			z.LiveEntries++
+		}
+	}
+	for _, u := range fleet.Upstreams {
+		z := zone(u.Zone, u.Region)
+		if u.State == eelgrassbeam.InstanceLive && !configuration.IsUpstreamDrained(u, now) {
+			z.LiveUpstreams++
+		}
+	}
+	s.addLoads(zones)
+	return zones
+}
+
+func (s *Steerer) addLoads(zones []operator.ZoneStatus) {
+	for site, load := range s.dispatcher.Loads() {
+		i := slices.IndexFunc(zones, func(z operator.ZoneStatus) bool { return z.Zone == site.Zone })
+		if i < 0 {
+			continue
+		}
+		zones[i].Slots += load.Slots
+		zones[i].InProgress += load.InProgress
+		zones[i].Waiting += load.Waiting
+	}
+}
--- a/steerer/status.go
+++ b/steerer/status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -68,38 +67,3 @@
 	}
 	return stored, nil
 }
-
-// Status implements operator.Backend.
-func (s *Steerer) Status(ctx context.Context) (operator.Status, error) {
-	fleet := s.monitor.Fleet()
-	status := operator.Status{Reporter: s.self.ID}
-	configuration, ok := s.holder.Configuration()
-	if !ok {
-		configuration = &eelgrassbeam.Configuration{}
-	}
-	status.StoredVersion = configuration.Version
-	if stored, err := s.changer.Read(ctx); err == nil {
-		status.StoredVersion, status.StoreReachable = max(stored.Version, configuration.Version), true
-	}
-	now := s.config.Clock.Now()
-	for _, entry := range fleet.Entries {
-		status.Entries = append(status.Entries, operator.EntryStatus{
-			ID: entry.ID, Zone: entry.Zone, Region: entry.Region, State: entry.State,
-			Drained: configuration.IsEntryDrained(entry, now), Address: entry.Address, OperatorAddress: entry.OperatorAddress,
-		})
-	}
-	for _, u := range fleet.Upstreams {
-		status.Upstreams = append(status.Upstreams, s.upstreamStatus(fleet, configuration, u, now))
-	}
-	return status, nil
-}
-
-func (s *Steerer) upstreamStatus(
-	fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, u eelgrassbeam.Upstream, now time.Time,
-) operator.UpstreamStatus {
-	owner, _ := s.assigner.Owner(fleet, eelgrassbeam.Site{Service: u.Service, Zone: u.Zone})
-	return operator.UpstreamStatus{
-		ID: u.ID, Service: u.Service, Zone: u.Zone, Region: u.Region, State: u.State,
-		Drained: configuration.IsUpstreamDrained(u, now), Dispatcher: owner.ID,
-	}
-}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -24,6 +24,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 	"github.com/eelgrassbeam/eelgrassbeam/platform"
 	"github.com/eelgrassbeam/eelgrassbeam/recorder"
+	"github.com/eelgrassbeam/eelgrassbeam/relayer"
 	"github.com/eelgrassbeam/eelgrassbeam/sender"
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
 )
@@ -45,6 +46,7 @@
 	holder        *holder.Holder
 	changer       *changer.Changer
 	monitor       *monitor.Monitor
+	relayer       *relayer.Relayer
 	assigner      *assigner.Assigner
 	upstreams     *upstream.Client
 	recorder      *recorder.Recorder
