--- /dev/null
+++ b/ramper/ramper.go
@@ -0,0 +1,120 @@
+// Package ramper decides how much work a cold upstream, site or region gets.
+package ramper
+
+import (
+	"sync"
+	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// FloorShare is the share of the full slots that a cold target begins with.
+const FloorShare = 0.1
+
+// Config configures a Ramper.
+type Config struct {
+	Clock eelgrassbeam.Clock
+}
+
+// Ramper remembers since when each target is in use. It is safe for concurrent use.
+type Ramper[Target comparable] struct {
+	config Config
+	mu     sync.Mutex
+	starts map[Target]time.Time
+}
+
+// New returns a Ramper that knows no target.
+func New[Target comparable](config Config) *Ramper[Target] {
+	return &Ramper[Target]{config: config, starts: make(map[Target]time.Time)}
+}
+
+// Start notes that the target is in use from now on; a known target keeps its time.
+func (r *Ramper[Target]) Start(target Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.starts[target]; !ok {
+		r.starts[target] = r.config.Clock.Now()
+	}
+}
+
+// Forget makes the target cold again.
+func (r *Ramper[Target]) Forget(target Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.starts, target)
+}
+
+// Keep forgets all targets but the given ones.
+func (r *Ramper[Target]) Keep(targets map[Target]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for target := range r.starts {
+		if !targets[target] {
+			delete(r.starts, target)
+		}
+	}
+}
+
+// Slots returns the slots that the target gets of its full ones; it starts a target that is not known.
+func (r *Ramper[Target]) Slots(target Target, full int, slowStart time.Duration) int {
+	r.Start(target)
+	r.mu.Lock()
+	age := r.config.Clock.Now().Sub(r.starts[target])
+	r.mu.Unlock()
+	return Slots(full, age, slowStart)
+}
+
+// Share returns the share of full work at the age: FloorShare at first, then
+// rising evenly to 1 at slowStart. A slowStart of zero gives full work at once.
+func Share(age, slowStart time.Duration) float64 {
+	if age >= slowStart {
+		return 1
+	}
+	return FloorShare + (1-FloorShare)*max(0, float64(age)/float64(slowStart))
+}
+
+// Slots returns the slots at the age, at least one of a target that has any.
+func Slots(full int, age, slowStart time.Duration) int {
+	if full <= 0 {
+		return 0
+	}
+	return max(1, int(float64(full)*Share(age, slowStart)))
+}
+
+// NextStep returns the time until Slots rises next; false at full slots.
+func NextStep(full int, age, slowStart time.Duration) (time.Duration, bool) {
+	now := Slots(full, age, slowStart)
+	if now >= full {
+		return 0, false
+	}
+	share := (float64(now+1)/float64(full) - FloorShare) / (1 - FloorShare)
+	return max(time.Millisecond, time.Duration(share*float64(slowStart))-age), true
+}
+
+// FullSlots returns the slots of a warm upstream under the configuration: zero
+// where it is not live or is drained, else the service's slots or its exception,
+// scaled by the weights of the upstream, its zone and its region.
+func FullSlots(config *eelgrassbeam.Configuration, upstream eelgrassbeam.Upstream, now time.Time) int {
+	service, ok := config.Defaults.Service(upstream.Service)
+	if !ok || upstream.State != eelgrassbeam.InstanceLive || config.IsUpstreamDrained(upstream, now) {
+		return 0
+	}
+	slots := float64(service.SlotsPerUpstream)
+	if e, ok := config.Exception(eelgrassbeam.SettingSlots, eelgrassbeam.TargetUpstream, string(upstream.ID), now); ok {
+		slots = e.Number()
+	}
+	weight := weightOf(config, eelgrassbeam.TargetUpstream, string(upstream.ID), now) *
+		weightOf(config, eelgrassbeam.TargetZone, string(upstream.Zone), now) *
+		weightOf(config, eelgrassbeam.TargetRegion, string(upstream.Region), now)
+	if weight == 0 {
+		return 0
+	}
+	return max(1, int(slots*weight))
+}
+
+func weightOf(config *eelgrassbeam.Configuration, kind eelgrassbeam.TargetKind, target string, now time.Time) float64 {
+	if e, ok := config.Exception(eelgrassbeam.SettingWeight, kind, target, now); ok {
+		return e.Number()
+	}
+	return 1
+}
