Start cold upstreams slowly, eject failing ones and bound retries

Cause: a new dispatcher filled all slots at once, a failing upstream drew work by answering fast, and retries had no bound. Ruled out: charging the budget for attempts that reached no upstream; they add no load there, and after a lost dispatcher they would use up the budget that protects upstreams. A change of policy that closes the queue: waiting requests would be refused at each change, so SetPolicy moves them.

--- /dev/null
+++ b/admitter/policy.go
@@ -0,0 +1,37 @@
+package admitter
+
+import "github.com/eelgrassbeam/eelgrassbeam"
+
+// SetPolicy puts other floors, queue limits and customer weights in force. Waiting requests keep their order inside
+// their customer; those that no longer fit are refused as not run.
+func (a *Admitter) SetPolicy(service eelgrassbeam.Service, weights map[eelgrassbeam.CustomerID]float64) {
+	a.mu.Lock()
+	now := a.advance()
+	a.config.Service, a.config.Weights = service, weights
+	var decided []decision
+	for _, rank := range a.ranks {
+		policy := service.Policy(rank.rank)
+		rank.floor = policy.Floor
+		decided = append(decided, rank.requeue(newFairQueue(policy.QueueLimit, weights), !a.guards.noFairness)...)
+	}
+	decided = a.dispatch(now, decided)
+	a.mu.Unlock()
+	a.deliver(decided)
+}
+
+// requeue moves the waiting requests to the queue and returns those that it refuses.
+func (r *rankState) requeue(next *fairQueue, fair bool) []decision {
+	var refused []decision
+	for r.queue.length > 0 {
+		ticket := r.queue.pop()
+		evicted, ok := next.push(ticket, fair)
+		if !ok {
+			evicted = ticket
+		}
+		if evicted != nil {
+			refused = append(refused, decision{ticket: evicted, err: ErrQueueFull})
+		}
+	}
+	r.queue = next
+	return refused
+}
--- /dev/null
+++ b/admitter/policy_test.go
@@ -0,0 +1,47 @@
+package admitter
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+func TestSetPolicy(t *testing.T) {
+	waiting := func(t *testing.T, s *site, n int) (slots, refused *int) {
+		t.Helper()
+		slots, refused = new(int), new(int)
+		for range n {
+			s.Submit(request("a", eelgrassbeam.RankStandard), s.in(time.Hour), func(_ *Slot, err error) {
+				if err == nil {
+					*slots++
+				}
+				if errors.Is(err, ErrQueueFull) {
+					*refused++
+				}
+			})
+		}
+		return slots, refused
+	}
+	t.Run("waiting requests stay", func(t *testing.T) {
+		is, s := is.New(t), newSite(t, 1)
+		slots, refused := waiting(t, s, 4)
+		service := s.config.Service
+		s.SetPolicy(service, nil)
+		is.Equal(*slots, 1)
+		is.Equal(*refused, 0)
+		is.Equal(s.Load().Waiting, 3)
+	})
+	t.Run("a smaller queue refuses the excess", func(t *testing.T) {
+		is, s := is.New(t), newSite(t, 1)
+		_, refused := waiting(t, s, 4)
+		service := s.config.Service
+		service.Ranks = []eelgrassbeam.RankPolicy{{Rank: eelgrassbeam.RankStandard, Deadline: eelgrassbeam.Seconds(1), QueueLimit: 1}}
+		s.SetPolicy(service, nil)
+		is.Equal(*refused, 2)
+		is.Equal(s.Load().Waiting, 1)
+	})
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return d.refuse(request, err)
 	}
-	return d.exchange(ctx, request, slot, deadline)
+	return d.exchange(ctx, request, s, slot, deadline)
 }
 
 func (d *Dispatcher) refuse(request eelgrassbeam.Request, err error) eelgrassbeam.Reply {
@@ -150,7 +150,7 @@
 
 // exchange runs the admitted request at the slot's upstream.
 func (d *Dispatcher) exchange(
-	ctx context.Context, request eelgrassbeam.Request, slot *admitter.Slot, deadline time.Time,
+	ctx context.Context, request eelgrassbeam.Request, s *site, slot *admitter.Slot, deadline time.Time,
 ) eelgrassbeam.Reply {
 	defer d.begin(request.Site)()
 	if reply, ok := d.start(request, deadline); !ok {
@@ -173,7 +173,11 @@
 	if upstream.IsLeaving(reply) {
 		d.markLeaving(slot.Upstream.ID)
 	}
-	slot.Release(d.result(slot.Upstream, reply, err, elapsed))
+	result := d.result(slot.Upstream, reply, err, elapsed)
+	if result.Outcome == admitter.OutcomeOK || result.Outcome == admitter.OutcomeFailed {
+		s.ejector.Record(slot.Upstream.ID, result.Outcome == admitter.OutcomeFailed)
+	}
+	slot.Release(result)
 	return reply
 }
 
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -6,6 +6,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/admitter"
+	"github.com/eelgrassbeam/eelgrassbeam/ejector"
 )
 
 type metrics struct {
@@ -13,6 +15,8 @@
 	slots     *prometheus.GaugeVec
 	progress  *prometheus.GaugeVec
 	waiting   *prometheus.GaugeVec
+	admitter  *admitter.Metrics
+	ejector   *ejector.Metrics
 }
 
 func newMetrics(registerer prometheus.Registerer) metrics {
@@ -27,6 +31,8 @@
 		slots:    gauge("eelgrassbeam_dispatcher_slots", "Requests that may be in progress at a site."),
 		progress: gauge("eelgrassbeam_dispatcher_in_progress", "Requests in progress at a site."),
 		waiting:  gauge("eelgrassbeam_dispatcher_waiting", "Requests that wait at a site."),
+		admitter: admitter.NewMetrics(registerer),
+		ejector:  ejector.NewMetrics(registerer),
 	}
 	if registerer != nil {
 		registerer.MustRegister(m.exchanges, m.slots, m.progress, m.waiting)
--- a/dispatcher/site.go
+++ b/dispatcher/site.go
@@ -11,7 +11,9 @@
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 	"github.com/eelgrassbeam/eelgrassbeam/admitter"
+	"github.com/eelgrassbeam/eelgrassbeam/ejector"
 	"github.com/eelgrassbeam/eelgrassbeam/logger"
+	"github.com/eelgrassbeam/eelgrassbeam/ramper"
 )
 
 const (
@@ -24,6 +26,8 @@
 // site is the queue of one site that the entry dispatches for.
 type site struct {
 	queue   *admitter.Admitter
+	ejector *ejector.Ejector
+	ramper  *ramper.Ramper[eelgrassbeam.UpstreamID]
 	service eelgrassbeam.Service
 }
 
@@ -60,12 +64,12 @@
 	owned := make(map[eelgrassbeam.Site]bool)
 	for _, service := range configuration.Defaults.Services {
 		for _, located := range fleet.ServiceSites(service.Name) {
-			since, ok := d.config.Assigner.MayDispatch(fleet, located.Site, now)
+			_, ok := d.config.Assigner.MayDispatch(fleet, located.Site, now)
 			if !ok {
 				continue
 			}
 			owned[located.Site] = true
-			d.reconcileSite(configuration, fleet, service, located.Site, since, now)
+			d.reconcileSite(configuration, fleet, service, located.Site, now)
 		}
 	}
 	for key, s := range d.sites {
@@ -79,43 +83,66 @@
 
 func (d *Dispatcher) reconcileSite(
 	configuration *eelgrassbeam.Configuration, fleet *eelgrassbeam.Fleet, service eelgrassbeam.Service,
-	key eelgrassbeam.Site, since, now time.Time,
+	key eelgrassbeam.Site, now time.Time,
 ) {
 	s, ok := d.sites[key]
 	if ok && !reflect.DeepEqual(s.service, service) {
-		s.queue.Close()
-		ok = false
+		s.queue.SetPolicy(service, configuration.Defaults.CustomerWeights)
+		s.service = service
 	}
 	if !ok {
-		s = &site{service: service, queue: admitter.New(admitter.Config{
-			Service: service, Weights: configuration.Defaults.CustomerWeights, Clock: d.config.Clock,
-		})}
+		s = d.newSite(configuration, service)
 		d.sites[key] = s
 		d.logRole(key, "taken")
 	}
-	var upstreams []admitter.UpstreamSlots
-	for _, u := range fleet.SiteUpstreams(key) {
-		if slots := d.slots(configuration, service, u, since, now); slots > 0 {
-			upstreams = append(upstreams, admitter.UpstreamSlots{Upstream: u, Slots: slots})
-		}
-	}
-	s.queue.SetUpstreams(upstreams)
+	upstreams := fleet.SiteUpstreams(key)
+	s.ejector.SetMembers(upstreamIDs(upstreams))
+	s.queue.SetUpstreams(d.slots(configuration, s, upstreams, now))
 	d.metrics.load(key, s.queue.Load())
 }
 
-// slots returns how many requests may be in progress at the upstream, 0 for none.
+func (d *Dispatcher) newSite(configuration *eelgrassbeam.Configuration, service eelgrassbeam.Service) *site {
+	return &site{
+		queue: admitter.New(admitter.Config{
+			Service: service, Weights: configuration.Defaults.CustomerWeights, Clock: d.config.Clock, Metrics: d.metrics.admitter,
+		}),
+		ejector: ejector.New(ejector.Config{Clock: d.config.Clock, Log: d.config.Log, Metrics: d.metrics.ejector}),
+		ramper:  ramper.New[eelgrassbeam.UpstreamID](ramper.Config{Clock: d.config.Clock}),
+		service: service,
+	}
+}
+
+// slots returns how many requests may be in progress at each upstream that takes work. An upstream that is out of use
+// for whatever reason is cold when it comes back.
 func (d *Dispatcher) slots(
-	configuration *eelgrassbeam.Configuration, service eelgrassbeam.Service, u eelgrassbeam.Upstream, since, now time.Time,
-) int {
-	_, leaves := d.leaving[u.ID]
-	if leaves || u.State != eelgrassbeam.InstanceLive || configuration.IsUpstreamDrained(u, now) {
-		return 0
+	configuration *eelgrassbeam.Configuration, s *site, upstreams []eelgrassbeam.Upstream, now time.Time,
+) []admitter.UpstreamSlots {
+	var usable []admitter.UpstreamSlots
+	inUse := make(map[eelgrassbeam.UpstreamID]bool, len(upstreams))
+	for _, u := range upstreams {
+		if _, leaves := d.leaving[u.ID]; leaves {
+			continue
+		}
+		full := ramper.FullSlots(configuration, u, now)
+		if full == 0 {
+			continue
+		}
+		inUse[u.ID] = true
+		slots := s.ramper.Slots(u.ID, full, configuration.Defaults.SlowStart.Duration)
+		if slots = s.ejector.Slots(u.ID, slots); slots > 0 {
+			usable = append(usable, admitter.UpstreamSlots{Upstream: u, Slots: slots})
+		}
 	}
-	slots := service.SlotsPerUpstream
-	if exception, ok := configuration.Exception(eelgrassbeam.SettingSlots, eelgrassbeam.TargetUpstream, string(u.ID), now); ok {
-		slots = int(exception.Number())
+	s.ramper.Keep(inUse)
+	return usable
+}
+
+func upstreamIDs(upstreams []eelgrassbeam.Upstream) []eelgrassbeam.UpstreamID {
+	ids := make([]eelgrassbeam.UpstreamID, len(upstreams))
+	for i, u := range upstreams {
+		ids[i] = u.ID
 	}
-	return slots
+	return ids
 }
 
 func (d *Dispatcher) markLeaving(id eelgrassbeam.UpstreamID) {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -12,13 +12,15 @@
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 	"github.com/eelgrassbeam/eelgrassbeam/logger"
+	"github.com/eelgrassbeam/eelgrassbeam/retrier"
 )
 
 const (
-	// maxAttempts bounds the attempts of one request.
+	// maxAttempts bounds the attempts of one request that may reach an upstream.
 	maxAttempts = 4
-	// retryPause is the time between attempts, doubled after each.
-	retryPause = 10 * time.Millisecond
+	// retryPause is the time between attempts, doubled after each up to maxRetryPause.
+	retryPause    = 10 * time.Millisecond
+	maxRetryPause = 250 * time.Millisecond
 	// cancelTimeout bounds the question what became of an attempt.
 	cancelTimeout = 500 * time.Millisecond
 	// noCapacityRetryAfter is told to callers that found no capacity.
@@ -46,10 +48,10 @@
 
 // Budget bounds retries as a share of first attempts.
 type Budget interface {
-	// Attempt counts a first attempt.
-	Attempt(service eelgrassbeam.ServiceName)
-	// Retry takes a retry from the budget; false refuses it.
-	Retry(service eelgrassbeam.ServiceName) bool
+	// RecordFirst counts a first attempt.
+	RecordFirst(service eelgrassbeam.ServiceName, share float64)
+	// AllowRetry takes a retry from the budget; false refuses it.
+	AllowRetry(service eelgrassbeam.ServiceName, share float64) bool
 }
 
 // Owners tells which entry dispatches for a site.
@@ -80,11 +82,13 @@
 	Log         logrus.FieldLogger
 	Decisions   *logger.Logger
 	Fleet       eelgrassbeam.FleetSource
-	Chooser     Chooser
-	Budget      Budget
-	Owners      Owners
-	Local       Local
-	Remote      Remote
+	// Configuration tells each service's retry share.
+	Configuration eelgrassbeam.ConfigurationSource
+	Chooser       Chooser
+	Budget        Budget
+	Owners        Owners
+	Local         Local
+	Remote        Remote
 	// ResendUnknown turns off the guard that a non-idempotent request of unknown outcome is never sent again. For tests only.
 	ResendUnknown bool
 }
@@ -98,25 +102,46 @@
 // New returns a Sender.
 func New(config Config) *Sender { return &Sender{config: config} }
 
-// Send returns what became of the request; it attempts again while that is safe, in time and in budget.
+// Send returns what became of the request; it attempts again while that is safe, in time and in budget. Attempts that
+// reached no upstream cost no budget.
 func (s *Sender) Send(ctx context.Context, request eelgrassbeam.Request) eelgrassbeam.Reply {
 	deadline := s.config.Clock.Now().Add(request.TimeLeft.Duration)
-	s.config.Budget.Attempt(request.Service)
+	share := s.retryShare(request.Service)
+	s.config.Budget.RecordFirst(request.Service, share)
 	var tried []eelgrassbeam.Site
-	pause := retryPause
+	pause, reached := retryPause, 0
 	for attempt := 1; ; attempt++ {
 		request = request.WithAttempt(attempt, s.nextAttemptID())
 		reply, site := s.try(ctx, request, tried, deadline)
-		if attempt == maxAttempts || !s.isRetryable(request, reply) {
+		if !s.isRetryable(request, reply) {
 			return reply
 		}
-		if !s.wait(ctx, pause, deadline) || !s.config.Budget.Retry(request.Service) {
+		if mayHaveReached(reply) {
+			reached++
+			if reached == maxAttempts || !s.config.Budget.AllowRetry(request.Service, share) {
+				return reply
+			}
+		}
+		if !s.wait(ctx, pause, deadline) {
 			return reply
 		}
 		s.logRetry(request, reply)
 		tried = appendSite(tried, site)
-		pause *= 2
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
+// mayHaveReached tells whether an upstream may have seen the attempt.
+func mayHaveReached(reply eelgrassbeam.Reply) bool {
+	return reply.Outcome == eelgrassbeam.OutcomeUnknown || reply.Reason == eelgrassbeam.ReasonUpstreamRefused
+}
+
+func (s *Sender) retryShare(name eelgrassbeam.ServiceName) float64 {
+	configuration, ok := s.config.Configuration.Configuration()
+	if !ok {
+		return 0
 	}
+	return retrier.Share(configuration, name, s.config.Clock.Now())
 }
 
 // try makes one attempt and returns the site that it chose.
--- a/steerer/build.go
+++ b/steerer/build.go
@@ -23,6 +23,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/platform"
 	"github.com/eelgrassbeam/eelgrassbeam/recorder"
 	"github.com/eelgrassbeam/eelgrassbeam/relayer"
+	"github.com/eelgrassbeam/eelgrassbeam/retrier"
 	"github.com/eelgrassbeam/eelgrassbeam/securer"
 	"github.com/eelgrassbeam/eelgrassbeam/sender"
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
@@ -116,7 +117,7 @@
 	})
 	s.sender = sender.New(sender.Config{
 		Self: s.self, Incarnation: s.incarnation, Clock: s.config.Clock, Log: s.config.Log, Decisions: s.decisions,
-		Fleet: s.monitor, Budget: sender.Unbounded{}, Owners: s.assigner, Local: s.dispatcher, Remote: sender.NewPeers(s.pool),
+		Fleet: s.monitor, Configuration: s.holder, Budget: retrier.New(retrier.Config{Registerer: s.registry}), Owners: s.assigner, Local: s.dispatcher, Remote: sender.NewPeers(s.pool),
 		Chooser: sender.NewNearest(sender.NearestConfig{Self: s.self, Fleet: s.monitor, Configuration: s.holder}),
 	})
 }
