--- /dev/null
+++ b/leaser/leaser_test.go
@@ -0,0 +1,209 @@
+package leaser
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/storefake"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "300")
+	os.Exit(m.Run())
+}
+
+const (
+	term   = 9 * time.Second
+	margin = time.Second
+	steps  = 150
+)
+
+// model runs holders that stand still inside their calls while time passes and others go on.
+type model struct {
+	*storefake.Store
+	random *rand.Rand
+	clock  *clockwork.FakeClock
+	leases []*Lease
+	// busy holds the leases whose call is in progress.
+	busy  map[*Lease]bool
+	fence *Fence
+	fault error
+	taken int
+	// last is the fencing version that the receiver admitted last.
+	last uint64
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		Store: storefake.New(), random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), clock: clockwork.NewFakeClock(),
+		busy: make(map[*Lease]bool), fence: NewFence(),
+	}
+	m.Lose = func(string) bool { return m.random.IntN(6) == 0 }
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range 3 {
+		m.leases = append(m.leases, New(Config{
+			Name: "role", Holder: eelgrassbeam.EntryID(fmt.Sprint("e", i)), Term: term, Margin: margin, Store: m, Clock: m.clock, Log: log,
+		}))
+	}
+	return m
+}
+
+// pass lets time pass and other holders act.
+func (m *model) pass() {
+	longest := []int{10, 500, 3000, 15000}[m.random.IntN(4)]
+	m.clock.Advance(time.Duration(m.random.IntN(longest)) * time.Millisecond)
+	for _, lease := range m.leases {
+		if !m.busy[lease] && m.random.IntN(3) == 0 {
+			m.act(lease)
+		}
+	}
+	m.check()
+}
+
+func (m *model) act(lease *Lease) {
+	m.busy[lease] = true
+	defer delete(m.busy, lease)
+	if m.random.IntN(20) == 0 {
+		_ = lease.Release(context.Background())
+		return
+	}
+	_ = lease.Renew(context.Background())
+	if version, ok := lease.Valid(m.clock.Now()); ok {
+		m.taken++
+		if m.random.IntN(4) == 0 {
+			m.pass() // the holder stands still between its check and its act
+		}
+		m.use(version)
+	}
+}
+
+// use brings an operation to the receiver.
+func (m *model) use(version uint64) {
+	if m.fence.Admit("role", version) != nil {
+		return
+	}
+	if version < m.last {
+		m.fault = errors.Join(m.fault, fmt.Errorf("admitted version %d after %d", version, m.last))
+	}
+	m.last = max(m.last, version)
+}
+
+func (m *model) check() {
+	var valid []eelgrassbeam.EntryID
+	for _, lease := range m.leases {
+		if _, ok := lease.Valid(m.clock.Now()); ok {
+			valid = append(valid, lease.config.Holder)
+		}
+	}
+	if len(valid) > 1 {
+		m.fault = errors.Join(m.fault, fmt.Errorf("%v hold the lease at once", valid))
+	}
+}
+
+func (m *model) Get(ctx context.Context, kind, name string) (eelgrassbeam.Object, error) {
+	defer m.stall()
+	return m.Store.Get(ctx, kind, name)
+}
+
+func (m *model) Create(ctx context.Context, kind, name string, value []byte) (eelgrassbeam.Object, error) {
+	m.stall()
+	defer m.stall()
+	return m.Store.Create(ctx, kind, name, value)
+}
+
+func (m *model) Update(ctx context.Context, object eelgrassbeam.Object) (eelgrassbeam.Object, error) {
+	m.stall()
+	defer m.stall()
+	return m.Store.Update(ctx, object)
+}
+
+func (m *model) stall() {
+	if m.random.IntN(5) == 0 {
+		m.pass()
+	}
+}
+
+func (m *model) run() error {
+	for range steps {
+		m.pass()
+	}
+	return m.fault
+}
+
+func TestLeaseGuards(t *testing.T) {
+	guards := map[string]func(m *model){
+		"term from receipt": func(m *model) {
+			for _, lease := range m.leases {
+				lease.fromReceipt = true
+			}
+		},
+		"no check of the clock": func(m *model) {
+			for _, lease := range m.leases {
+				lease.trustsGrant = true
+			}
+		},
+		"no fence": func(m *model) { m.fence.admitsAll = true },
+	}
+	t.Run("guards on", func(t *testing.T) {
+		taken := 0
+		rapid.Check(t, func(t *rapid.T) {
+			m := newModel(t)
+			if err := m.run(); err != nil {
+				t.Fatal(err)
+			}
+			taken += m.taken
+		})
+		is.New(t).True(taken > 0)
+	})
+	for name, off := range guards {
+		t.Run(name+", guard off", func(t *testing.T) {
+			faults := 0
+			rapid.Check(t, func(t *rapid.T) {
+				m := newModel(t)
+				off(m)
+				if m.run() != nil {
+					faults++
+				}
+			})
+			is.New(t).True(faults > 0)
+		})
+	}
+}
+
+func TestLostRenewal(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store, clock := storefake.New(), clockwork.NewFakeClock()
+	lease := New(Config{Name: "role", Holder: "e0", Term: term, Margin: margin, Store: store, Clock: clock, Log: log})
+	is.NoErr(lease.Renew(t.Context()))
+	first, ok := lease.Valid(clock.Now())
+	is.True(ok)
+	clock.Advance(term / renewalsPerTerm)
+	store.Set(func(s *storefake.Store) { s.Lose = func(operation string) bool { return operation == "update" } })
+	is.NoErr(lease.Renew(t.Context())) // read back
+	clock.Advance(term - time.Second)
+	fence, ok := lease.Valid(clock.Now())
+	is.True(ok)
+	is.Equal(fence, first) // a renewal keeps the fencing version
+	clock.Advance(2 * time.Second)
+	_, ok = lease.Valid(clock.Now())
+	is.True(!ok)
+}
