Encode configurations that were decoded without a change id

The fuzzer found a configuration without a change id: its own check accepts it, and what it is encoded to is refused by the next reader. An empty change id is left out now. A rank policy without a rank had the same fault and is refused.

--- a/configuration.go
+++ b/configuration.go
@@ -10,7 +10,7 @@
 
 // Change tells who made a configuration version, when and under which id.
 type Change struct {
-	ID     ChangeID  `json:"id"`
+	ID     ChangeID  `json:"id,omitempty"`
 	Author string    `json:"author"`
 	At     time.Time `json:"at"`
 	Note   string    `json:"note,omitempty"`
--- a/defaults.go
+++ b/defaults.go
@@ -171,6 +171,7 @@
 	check(isShare(s.RetryShare), "retry_share %g: want 0 to 1", s.RetryShare)
 	floors := 0.0
 	for i, policy := range s.Ranks {
+		check(policy.Rank != "", "policy %d: rank is empty", i)
 		check(isShare(policy.Floor), "floor %g of rank %s: want 0 to 1", policy.Floor, policy.Rank)
 		check(policy.Deadline.Duration >= time.Millisecond, "deadline %s of rank %s: want 1ms or more", policy.Deadline, policy.Rank)
 		check(policy.QueueLimit >= 1, "queue_limit %d of rank %s: want 1 or more", policy.QueueLimit, policy.Rank)
