End the calls between entries gracefully on a planned stop

Cause: the stop closed the listener between entries at once, which could cut a request that a peer had forwarded here. Ruled out: waiting for the dispatcher's count alone; requests that wait in a queue or at a key's home are not in it. Before: Stop. After: GracefulStop inside the time limit; a second signal ends it. Not measured yet.

--- a/steerer/run.go
+++ b/steerer/run.go
@@ -56,19 +56,19 @@
 	return err
 }
 
-// stop leaves look-up answers, serves for as long as callers may hold one, and finishes what is in progress.
+// stop leaves look-up answers, serves for as long as callers may hold one, and finishes what is in progress. A second
+// signal ends it at once.
 func (s *Steerer) stop(ctx context.Context, signals <-chan os.Signal) error {
 	begin := s.config.Clock.Now()
 	limit, cancel := context.WithTimeout(ctx, s.config.StopTimeout)
 	defer cancel()
-	watch, stopWatch := context.WithCancel(limit)
-	defer stopWatch()
-	group, _ := errgroup.WithContext(watch)
+	group, _ := errgroup.WithContext(limit)
+	done := make(chan struct{})
 	group.Go(func() error {
 		select {
 		case <-signals:
 			cancel()
-		case <-watch.Done():
+		case <-done:
 		}
 		return nil
 	})
@@ -76,12 +76,28 @@
 	s.monitor.Leave()
 	s.pause(limit, s.lookupTTL())
 	err := s.callers.Shutdown(limit)
+	s.stopPeers(limit, group)
 	s.finish(limit)
-	stopWatch()
+	close(done)
 	_ = group.Wait()
 	return s.reportStop(begin, err)
 }
 
+// stopPeers takes no more calls of other entries and waits for those in progress.
+func (s *Steerer) stopPeers(ctx context.Context, group *errgroup.Group) {
+	stopped := make(chan struct{})
+	group.Go(func() error {
+		s.peers.GracefulStop()
+		close(stopped)
+		return nil
+	})
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		s.peers.Stop()
+	}
+}
+
 // finish waits until no request is in progress at this entry's dispatcher.
 func (s *Steerer) finish(ctx context.Context) {
 	for s.dispatcher.InProgress() > 0 && ctx.Err() == nil {
