Spread an operator's change from the entry that took it, and close idle control connections

Cause: a change that an operator made at an entry waited for the watchers' next event, and comparisons with a different foreign entry each time left a connection to each of them open. Ruled out: a push by the operators' client, which knows no tree. Before: only watchers spread. After: the holder tells the source, and what comes from the platform by either way is spread; the foreign partner stays the same while the view stays; connections without calls close after 30 s. The holder's test takes the source as a second argument; its checks are unchanged.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -47,7 +47,7 @@
 
 	mu          sync.Mutex
 	changed     chan struct{}
-	subscribers []func(*eelgrassbeam.Configuration)
+	subscribers []func(*eelgrassbeam.Configuration, Source)
 
 	// acceptsLower turns the version guard off; tests only.
 	acceptsLower bool
@@ -56,6 +56,7 @@
 type state struct {
 	configuration *eelgrassbeam.Configuration
 	since         time.Time
+	source        Source
 }
 
 type metrics struct {
@@ -136,13 +137,13 @@
 	}
 }
 
-// Subscribe calls the function with each version in order, and at once with the one in force. It must not call Offer.
-func (h *Holder) Subscribe(apply func(*eelgrassbeam.Configuration)) {
+// Subscribe calls the function with each version and its source in order, and at once with the one in force. It must not call Offer.
+func (h *Holder) Subscribe(apply func(*eelgrassbeam.Configuration, Source)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.subscribers = append(h.subscribers, apply)
 	if current := h.current.Load(); current != nil {
-		apply(current.configuration)
+		apply(current.configuration, current.source)
 	}
 }
 
@@ -170,10 +171,10 @@
 // apply puts the configuration in force; the caller holds the mutex. Recent changes serve writers only and are dropped.
 func (h *Holder) apply(configuration eelgrassbeam.Configuration, source Source) {
 	configuration = configuration.WithRecentChanges(nil)
-	h.current.Store(&state{configuration: &configuration, since: h.config.Clock.Now()})
+	h.current.Store(&state{configuration: &configuration, since: h.config.Clock.Now(), source: source})
 	h.metrics.version.Set(float64(configuration.Version))
 	for _, subscriber := range h.subscribers {
-		subscriber(&configuration)
+		subscriber(&configuration, source)
 	}
 	close(h.changed)
 	h.changed = make(chan struct{})
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -56,7 +56,7 @@
 	h.acceptsLower = acceptsLower
 	highest := uint64(0)
 	seen := uint64(0)
-	h.Subscribe(func(c *eelgrassbeam.Configuration) { seen = c.Version })
+	h.Subscribe(func(c *eelgrassbeam.Configuration, _ Source) { seen = c.Version })
 	for _, version := range rapid.SliceOfN(rapid.Uint64Range(1, 20), 1, 40).Draw(t, "versions") {
 		_ = h.Offer(configuration(version), SourcePeer)
 		highest = max(highest, version)
--- a/peer/guard.go
+++ b/peer/guard.go
@@ -16,6 +16,8 @@
 	pingTimeout  = time.Second
 	pingService  = "eelgrassbeam.peer"
 	pingMethod   = "Ping"
+	// idleTicks is after how many ping intervals without a call a connection is closed: 30 s.
+	idleTicks = 60
 )
 
 // Ping is an empty message that proves a connection alive.
@@ -26,6 +28,8 @@
 	conn    *grpc.ClientConn
 	calls   atomic.Int64
 	pinging atomic.Bool
+	// idle counts ping intervals since the connection was last asked for; the pool's mutex guards it.
+	idle int
 }
 
 func (g *guarded) count(
@@ -47,7 +51,7 @@
 	}, struct{}{})
 }
 
-// Run pings each connection that has calls in progress, and closes one that is silent, until the context ends.
+// Run pings each connection that has calls in progress, closes one that is silent, and those long idle, until the context ends.
 func (p *Pool) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
@@ -57,6 +61,7 @@
 				return nil
 			case <-p.config.Clock.After(pingInterval):
 			}
+			p.closeIdle()
 			for address, g := range p.busy() {
 				group.Go(func() error {
 					p.ping(ctx, address, g)
@@ -68,6 +73,23 @@
 	return group.Wait()
 }
 
+// closeIdle closes connections that nobody has asked for lately, so that a pool does not grow with the fleet.
+func (p *Pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, g := range p.conns {
+		if g.calls.Load() > 0 {
+			g.idle = 0
+			continue
+		}
+		g.idle++
+		if g.idle > idleTicks {
+			delete(p.conns, address)
+			_ = g.conn.Close()
+		}
+	}
+}
+
 func (p *Pool) busy() map[netip.AddrPort]*guarded {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -56,6 +56,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if g, ok := p.conns[address]; ok {
+		g.idle = 0
 		return g.conn, nil
 	}
 	g := &guarded{}
--- a/relayer/compare.go
+++ b/relayer/compare.go
@@ -19,9 +19,10 @@
 
 // compare compares what it holds with one peer at each interval, and takes over what it lacks.
 func (r *Relayer) compare(ctx context.Context) {
+	hasFailed := false
 	for round := uint64(0); ctx.Err() == nil; round++ {
-		if to, ok := r.partner(round); ok {
-			r.compareWith(ctx, to)
+		if to, ok := r.partner(round, hasFailed); ok {
+			hasFailed = r.compareWith(ctx, to) != nil
 		}
 		interval := compareInterval
 		if !r.Ready() {
@@ -31,11 +32,16 @@
 	}
 }
 
-// partner returns the successor on the zone's ring, and an entry of another zone now and then. An entry
-// without a configuration asks all in turn.
-func (r *Relayer) partner(round uint64) (eelgrassbeam.Entry, bool) {
+// partner returns the successor on the zone's ring, and at each third round an entry of another zone, the same as
+// long as the view stays, since a new connection costs more than a comparison. After a failure, or without a
+// configuration, it is another one each time.
+func (r *Relayer) partner(round uint64, hasFailed bool) (eelgrassbeam.Entry, bool) {
 	self := r.config.Self
-	key := fmt.Sprintf("compare/%s/%d", self.ID, round)
+	isAny := hasFailed || !r.Ready()
+	key := "compare/" + string(self.ID)
+	if isAny {
+		key = fmt.Sprintf("%s/%d", key, round)
+	}
 	foreign := assigner.Live(r.config.Fleet.Fleet(), func(e eelgrassbeam.Entry) bool { return e.Zone != self.Zone })
 	ring := assigner.Rank("compare", r.zoneMembers(self.Zone))
 	i := slices.IndexFunc(ring, func(e eelgrassbeam.Entry) bool { return e.ID == self.ID })
@@ -43,20 +49,22 @@
 	switch {
 	case len(others) == 0 || round%foreignRounds == foreignRounds-1 && len(foreign) > 0:
 		return assigner.First(key, foreign)
-	case i < 0 || !r.Ready():
+	case i < 0 || isAny:
 		return assigner.First(key, others)
 	default:
 		return ring[(i+1)%len(ring)], true
 	}
 }
 
-func (r *Relayer) compareWith(ctx context.Context, to eelgrassbeam.Entry) {
+func (r *Relayer) compareWith(ctx context.Context, to eelgrassbeam.Entry) error {
 	ours := r.comparison()
 	theirs, err := call[comparison](ctx, r, to, methodCompare, &ours)
 	r.metrics.comparisons.WithLabelValues(resultOf(err)).Inc()
-	if err == nil {
-		r.catchUp(ctx, to, *theirs)
+	if err != nil {
+		return err
 	}
+	r.catchUp(ctx, to, *theirs)
+	return nil
 }
 
 // compared answers a comparison; what the caller has more of is pulled from it later.
--- a/relayer/history.go
+++ b/relayer/history.go
@@ -19,13 +19,18 @@
 	lastBase uint64
 }
 
-func (h *history) add(configuration *eelgrassbeam.Configuration) {
+// add keeps the configuration and returns the version before it, zero if there was none.
+func (h *history) add(configuration *eelgrassbeam.Configuration) (before uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if len(h.versions) > 0 {
+		before = h.versions[len(h.versions)-1].Version
+	}
 	h.versions = append(h.versions, configuration)
 	if excess := len(h.versions) - historyLength; excess > 0 {
 		h.versions = slices.Clone(h.versions[excess:])
 	}
+	return before
 }
 
 // update returns what leads from the base to the version: a delta where the base is kept; nil where the version is not.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -69,10 +69,19 @@
 		config: config, metrics: newMetrics(config.Registerer), history: &history{},
 		jobs: make(chan func(context.Context), queueLength),
 	}
-	config.Holder.Subscribe(r.history.add)
+	config.Holder.Subscribe(r.applied)
 	return r
 }
 
+// applied keeps the configuration for deltas, and spreads one that this entry has from the platform, by its watch or
+// by an operator's change.
+func (r *Relayer) applied(configuration *eelgrassbeam.Configuration, source holder.Source) {
+	base := r.history.add(configuration)
+	if source == holder.SourcePlatform {
+		r.enqueue(func(ctx context.Context) { r.spreadConfiguration(ctx, base, configuration.Version) })
+	}
+}
+
 // Ready tells whether a configuration is in force here.
 func (r *Relayer) Ready() bool {
 	_, ok := r.config.Holder.Configuration()
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -86,7 +86,7 @@
 	return isNew, nil
 }
 
-// offerObject applies the configuration that the platform holds, spreads it in the zone and tells whether it was new.
+// offerObject applies the configuration that the platform holds and tells whether it was new.
 func (r *Relayer) offerObject(object eelgrassbeam.Object) bool {
 	before, _ := r.config.Holder.InForce()
 	if object.Name != changer.Name || object.Version <= before {
@@ -97,11 +97,7 @@
 		r.config.Log.WithField("event", "config_invalid").WithField("error", err).Error("")
 		return false
 	}
-	if r.config.Holder.Offer(configuration, holder.SourcePlatform) != nil {
-		return false
-	}
-	r.enqueue(func(ctx context.Context) { r.spreadConfiguration(ctx, before, object.Version) })
-	return true
+	return r.config.Holder.Offer(configuration, holder.SourcePlatform) == nil
 }
 
 // spreadConfiguration sends the configuration in force down the zone's tree, with this entry at the root.
