Let a home finish requests whose caller has gone

A caller that lost its connection and repeated the key got an unknown outcome: the first run ended with the caller's context, so that the home never learned the answer. The home now runs under the deadline alone. It also counts what it runs, for a planned stop, and passes on the time that is left after the claim. TestCallerGone failed before with unknown and passes now.

--- a/keeper/remote.go
+++ b/keeper/remote.go
@@ -29,13 +29,10 @@
 	}, receiver)
 }
 
-// handleDo goes on when the caller goes away, so that the home records how the request ended.
 func handleDo(ctx context.Context, r Receiver, request *eelgrassbeam.Request) (*eelgrassbeam.Reply, error) {
 	if request.IdempotencyKey == "" || request.ID == "" || request.TimeLeft.Duration <= 0 {
 		return nil, fmt.Errorf("%w: request %q without key, id or time left", eelgrassbeam.ErrInvalid, request.ID)
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), request.TimeLeft.Duration)
-	defer cancel()
 	reply, err := r.Do(ctx, *request)
 	return &reply, err
 }
--- a/keeper/router.go
+++ b/keeper/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,7 +34,10 @@
 }
 
 // Router brings requests with an idempotency key to their homes.
-type Router struct{ config RouterConfig }
+type Router struct {
+	config     RouterConfig
+	inProgress atomic.Int64
+}
 
 // NewRouter returns a router.
 func NewRouter(config RouterConfig) *Router { return &Router{config: config} }
@@ -81,13 +85,23 @@
 	return reply, nil
 }
 
-// Do runs the request at this entry as its key's home.
+// Do runs the request at this entry as its key's home. It goes on when the
+// caller goes away, so that a repeat gets the answer.
 func (r *Router) Do(ctx context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error) {
+	r.inProgress.Add(1)
+	defer r.inProgress.Add(-1)
+	deadline := r.config.Clock.Now().Add(request.TimeLeft.Duration)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), request.TimeLeft.Duration)
+	defer cancel()
 	return r.config.Keeper.Do(ctx, request, func(ctx context.Context) (eelgrassbeam.Reply, error) {
-		return r.config.Run(ctx, request)
+		left := deadline.Sub(r.config.Clock.Now())
+		return r.config.Run(ctx, request.WithTimeLeft(eelgrassbeam.Duration{Duration: left}))
 	})
 }
 
+// InProgress returns the number of requests that this entry serves as a home; a planned stop waits for them.
+func (r *Router) InProgress() int { return int(r.inProgress.Load()) }
+
 // afterLoss turns a refusal into an unknown outcome if an earlier try may still run.
 func afterLoss(reply eelgrassbeam.Reply, lost bool) eelgrassbeam.Reply {
 	if !lost || reply.Outcome != eelgrassbeam.OutcomeNotRun {
--- a/keeper/router_test.go
+++ b/keeper/router_test.go
@@ -94,3 +94,27 @@
 		is.New(t).Equal(runs.Load(), int64(1))
 	})
 }
+
+func TestCallerGone(t *testing.T) {
+	is := is.New(t)
+	ctx, leave := context.WithCancel(t.Context())
+	k := start(t, storefake.New(), "home", nil)
+	runs := 0
+	router := NewRouter(RouterConfig{
+		Self: k.config.Self, Fleet: k.config.Fleet, Keeper: k, Clock: clockwork.NewRealClock(), Log: k.config.Log,
+		Run: func(ctx context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error) {
+			runs++
+			leave()
+			if ctx.Err() != nil {
+				return eelgrassbeam.Unknown(request.ID, eelgrassbeam.ReasonCancelled), nil
+			}
+			return eelgrassbeam.Reply{RequestID: request.ID, Outcome: eelgrassbeam.OutcomeAnswered, Status: 200}, nil
+		},
+	})
+	request := keyed("r1", "k1", "x").WithTimeLeft(eelgrassbeam.Seconds(10))
+	_ = router.Route(ctx, request)
+	request.ID = "r2"
+	assertReply(t, router.Route(t.Context(), request), eelgrassbeam.OutcomeAnswered, "")
+	is.Equal(runs, 1)
+	is.Equal(router.InProgress(), 0)
+}
