Count the bytes of control

Cause: the budget of 2 KB a second a node had nothing that measures it. Ruled out: gRPC's payload sizes, which leave out headers and frames; the listener, which carries requests too. Before: none. After: sockets that the control pool and the platform's client open count what they carry; each byte between entries is counted once, at the side that called. Conclusion: a node's share is twice the entry count's average, as it is called as often as it calls.

--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,58 @@
+// Package meter counts the bytes that connections carry.
+package meter
+
+import (
+	"context"
+	"net"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// Config configures a Meter.
+type Config struct {
+	Registerer prometheus.Registerer
+}
+
+// Meter counts the bytes of control, as sockets carry them, by the side that this process calls.
+type Meter struct{ bytes *prometheus.CounterVec }
+
+// New returns a Meter.
+func New(config Config) *Meter {
+	return &Meter{bytes: promauto.With(config.Registerer).NewCounterVec(prometheus.CounterOpts{
+		Name: "eelgrassbeam_meter_control_bytes_total",
+		Help: "Bytes sent and received for control on connections that this process opened.",
+	}, []string{"peer"})}
+}
+
+// Dialer returns a function that opens TCP connections and counts their bytes under the peer's name.
+func (m *Meter) Dialer(peer string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	counter := m.bytes.WithLabelValues(peer)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &counted{Conn: conn, bytes: counter}, nil
+	}
+}
+
+// counted is a connection that counts its bytes.
+type counted struct {
+	net.Conn
+	bytes prometheus.Counter
+}
+
+// Read implements net.Conn.
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(float64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(float64(n))
+	return n, err
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -2,7 +2,9 @@
 package peer
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -34,6 +36,8 @@
 	Log   logrus.FieldLogger
 	// Credentials secure the connections; nil for plain text.
 	Credentials credentials.TransportCredentials
+	// Dial opens connections; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Pool keeps one connection a peer address.
@@ -101,7 +105,7 @@
 	connect.Backoff.Multiplier = 1.6
 	connect.Backoff.Jitter = 0.2
 	connect.Backoff.MaxDelay = backoffMax
-	return []grpc.DialOption{
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(p.config.Credentials),
 		grpc.WithConnectParams(connect),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
@@ -114,6 +118,12 @@
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 	}
+	if p.config.Dial == nil {
+		return options
+	}
+	return append(options, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		return p.config.Dial(ctx, "tcp", address)
+	}))
 }
 
 // NewServer returns a gRPC server for the listener between entries.
--- a/steerer/build.go
+++ b/steerer/build.go
@@ -16,6 +16,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/holder"
 	"github.com/eelgrassbeam/eelgrassbeam/keeper"
 	"github.com/eelgrassbeam/eelgrassbeam/logger"
+	"github.com/eelgrassbeam/eelgrassbeam/meter"
 	"github.com/eelgrassbeam/eelgrassbeam/monitor"
 	"github.com/eelgrassbeam/eelgrassbeam/operator"
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
@@ -45,7 +46,10 @@
 	}
 	s.decisions = logger.New(s.decisionConfig())
 	pool := peer.PoolConfig{Clock: s.config.Clock, Log: s.config.Log, Credentials: secure.ClientCredentials()}
-	s.pool, s.control = peer.NewPool(pool), peer.NewPool(pool)
+	s.pool = peer.NewPool(pool)
+	s.meter = meter.New(meter.Config{Registerer: s.registry})
+	pool.Dial = s.meter.Dialer("entry")
+	s.control = peer.NewPool(pool)
 	if err := s.buildState(); err != nil {
 		return err
 	}
@@ -78,7 +82,7 @@
 func (s *Steerer) buildState() error {
 	store, err := platform.New(platform.Config{
 		URL: s.config.PlatformURL, Timeout: s.config.PlatformTimeout, Clock: s.config.Clock,
-		Registerer: s.registry, Log: s.config.Log,
+		Registerer: s.registry, Log: s.config.Log, Dial: s.meter.Dialer("platform"),
 	})
 	if err != nil {
 		return err
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -20,6 +20,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/holder"
 	"github.com/eelgrassbeam/eelgrassbeam/keeper"
 	"github.com/eelgrassbeam/eelgrassbeam/logger"
+	"github.com/eelgrassbeam/eelgrassbeam/meter"
 	"github.com/eelgrassbeam/eelgrassbeam/monitor"
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 	"github.com/eelgrassbeam/eelgrassbeam/platform"
@@ -40,6 +41,7 @@
 	registry    *prometheus.Registry
 
 	decisions *logger.Logger
+	meter     *meter.Meter
 	// pool carries requests, control heartbeats and the like, so that neither waits for the other.
 	pool, control *peer.Pool
 	store         *platform.Client
