Measure what control costs as the fleet grows

Ruled out: one process with many entries, whose processor time and memory can't be told apart. Before: none.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,7 +4,7 @@
 LDFLAGS := -X main.version=$(VERSION)
 export CGO_ENABLED := 1
 
-.PHONY: build demo test check generate
+.PHONY: build demo test check capacity generate
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -15,6 +15,9 @@
 test:
 	$(GO) test -race -count=1 ./...
 
+capacity: build
+	bin/eelgrassbeam-survey
+
 check:
 	script/bare-go
 	golangci-lint fmt --diff
--- /dev/null
+++ b/surveyor/change.go
@@ -0,0 +1,91 @@
+package surveyor
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/changer"
+	"github.com/eelgrassbeam/eelgrassbeam/platform"
+)
+
+// changes stores configuration versions and waits for them at all entries.
+type changes struct {
+	fleet  *fleet
+	config Config
+	stored eelgrassbeam.Object
+	next   eelgrassbeam.Configuration
+}
+
+func newChanges(f *fleet, config Config) *changes {
+	return &changes{fleet: f, config: config, next: config.Configuration}
+}
+
+// apply stores one more version and returns the time until it was in force at the last entry.
+func (c *changes) apply(ctx context.Context) (time.Duration, error) {
+	c.next = c.next.WithChange(eelgrassbeam.Change{
+		ID: eelgrassbeam.ChangeID(fmt.Sprintf("survey-%d", c.stored.Version)), Author: "survey", At: c.config.Clock.Now().UTC(),
+	})
+	value, err := json.Marshal(c.next)
+	if err != nil {
+		return 0, err
+	}
+	store, err := c.store()
+	if err != nil {
+		return 0, err
+	}
+	begin := c.config.Clock.Now()
+	if c.stored.Version == 0 {
+		c.stored, err = store.Create(ctx, changer.Kind, changer.Name, value)
+	} else {
+		c.stored.Value = value
+		c.stored, err = store.Update(ctx, c.stored)
+	}
+	if err != nil {
+		return 0, fmt.Errorf("store a change: %w", err)
+	}
+	return c.await(ctx, begin)
+}
+
+func (c *changes) await(ctx context.Context, begin time.Time) (time.Duration, error) {
+	last := begin
+	for _, p := range c.fleet.entries {
+		err := p.await(ctx, c.config.Clock, func() bool {
+			at, ok := p.applied[c.stored.Version]
+			if ok && at.After(last) {
+				last = at
+			}
+			return ok
+		})
+		if err != nil {
+			return 0, fmt.Errorf("version %d is not in force at %s: %w", c.stored.Version, p.id, err)
+		}
+	}
+	return last.Sub(begin), nil
+}
+
+// times applies so many changes and returns the median and the worst time.
+func (c *changes) times(ctx context.Context, n int) (median, worst time.Duration, err error) {
+	if n == 0 {
+		return 0, 0, nil
+	}
+	times := make([]time.Duration, n)
+	for i := range times {
+		if times[i], err = c.apply(ctx); err != nil {
+			return 0, 0, err
+		}
+	}
+	slices.Sort(times)
+	return times[n/2], times[n-1], nil
+}
+
+func (c *changes) store() (eelgrassbeam.Store, error) {
+	log := logrus.New()
+	log.SetLevel(logrus.ErrorLevel)
+	return platform.New(platform.Config{URL: c.fleet.url, Clock: c.config.Clock, Log: log})
+}
--- /dev/null
+++ b/surveyor/fleet.go
@@ -0,0 +1,179 @@
+package surveyor
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/standin"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	pollInterval = 50 * time.Millisecond
+	zonesARegion = 2
+	regionCount  = 3
+)
+
+// fleet is a platform stand-in with entry processes.
+type fleet struct {
+	config   Config
+	platform *standin.Platform
+	server   *http.Server
+	url      string
+	entries  []*process
+	group    *errgroup.Group
+}
+
+// process is one entry process with the versions that it said to be in force.
+type process struct {
+	id       string
+	command  *exec.Cmd
+	operator string
+
+	mu      sync.Mutex
+	changed chan struct{}
+	row     eelgrassbeam.Instance
+	applied map[uint64]time.Time
+}
+
+func startFleet(ctx context.Context, config Config, entries int) (*fleet, error) {
+	f := &fleet{config: config, platform: standin.NewPlatform(standin.PlatformConfig{Clock: config.Clock})}
+	f.group, ctx = errgroup.WithContext(ctx)
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	f.server, f.url = f.platform.Server(), "http://"+listener.Addr().String()
+	f.group.Go(func() error {
+		if err := f.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	for n := range entries {
+		if err := f.start(ctx, n); err != nil {
+			f.stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// start starts the n-th entry; entries are spread over the zones in turn.
+func (f *fleet) start(ctx context.Context, n int) error {
+	zone := n % (regionCount * zonesARegion)
+	region := fmt.Sprintf("r%d", zone/zonesARegion)
+	p := &process{id: fmt.Sprintf("e%03d", n), changed: make(chan struct{}), applied: make(map[uint64]time.Time)}
+	p.command = exec.CommandContext(ctx, f.config.Daemon,
+		"-id", p.id, "-zone", fmt.Sprintf("%s-z%d", region, zone%zonesARegion), "-region", region, "-platform-url", f.url,
+		"-caller-address", "127.0.0.1:0", "-peer-address", "127.0.0.1:0", "-operator-address", "127.0.0.1:0")
+	pipe, err := p.command.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := p.command.Start(); err != nil {
+		return fmt.Errorf("start entry: %w", err)
+	}
+	f.entries = append(f.entries, p)
+	f.group.Go(func() error { return p.follow(pipe, f.config.Clock) })
+	if err := p.await(ctx, f.config.Clock, func() bool { return p.row.ID != "" }); err != nil {
+		return fmt.Errorf("entry %s does not listen: %w", p.id, err)
+	}
+	f.platform.PutInstance(p.row)
+	return nil
+}
+
+// stop ends the processes that it started.
+func (f *fleet) stop() {
+	for _, p := range f.entries {
+		_ = p.command.Process.Signal(syscall.SIGKILL)
+	}
+	for _, p := range f.entries {
+		_ = p.command.Wait()
+	}
+	_ = f.server.Close()
+	_ = f.group.Wait()
+}
+
+// follow reads the process's log to its end.
+func (p *process) follow(pipe io.Reader, clock eelgrassbeam.Clock) error {
+	lines := bufio.NewScanner(pipe)
+	for lines.Scan() {
+		p.read(fieldsOf(lines.Text()), clock.Now())
+	}
+	return nil
+}
+
+func (p *process) read(fields map[string]string, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch fields["event"] {
+	case "listening":
+		p.operator = fields["operator"]
+		p.row = eelgrassbeam.Instance{
+			ID: p.id, Kind: eelgrassbeam.InstanceEntry, State: eelgrassbeam.InstanceLive,
+			Zone: eelgrassbeam.ZoneID(fields["zone"]), Region: eelgrassbeam.RegionID(fields["region"]),
+			Address: address(fields["caller"]), PeerAddress: address(fields["peer"]), OperatorAddress: address(fields["operator"]),
+		}
+	case "config_applied":
+		version, err := strconv.ParseUint(fields["version"], 10, 64)
+		if err == nil {
+			p.applied[version] = at
+		}
+	default:
+		return
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// await waits until the condition holds; the condition is called under the mutex.
+func (p *process) await(ctx context.Context, clock eelgrassbeam.Clock, holds func() bool) error {
+	limit := clock.After(startTimeout)
+	for {
+		p.mu.Lock()
+		ok, changed := holds(), p.changed
+		p.mu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			return context.DeadlineExceeded
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func address(text string) netip.AddrPort {
+	parsed, _ := netip.ParseAddrPort(text)
+	return parsed
+}
+
+// fieldsOf splits a line of key=value pairs.
+func fieldsOf(line string) map[string]string {
+	fields := make(map[string]string)
+	for part := range strings.FieldsSeq(line) {
+		if key, value, ok := strings.Cut(part, "="); ok {
+			fields[key] = strings.Trim(value, `"`)
+		}
+	}
+	return fields
+}
