Work out a new view in a seventh of the time

A view of 7000 entries and 8500 backend servers took 75 ms after each change, 10 s for a zone that fails as a whole. The listed part and the order are kept between changes, the plan goes by places, and views follow each other at 200 ms at the least: 10 ms a view (BenchmarkView, 20 runs), 9 MB held. Fixed windows of the transport save its probes of the bandwidth: 269 before and 233 bytes a heartbeat after, 3.4 and 1.8 writes (TestControlTraffic, one run each, the first with the race detector).

--- a/monitor/beat.go
+++ b/monitor/beat.go
@@ -40,7 +40,7 @@
 	now := m.config.Clock.Now()
 	wasHeld := m.term.held
 	isAlone := m.view.known && m.view.roster.isOnly(m.config.Self.ID)
-	m.term.tick(now, m.plan.watchers[m.config.Self.ID], isAlone)
+	m.term.tick(now, m.watchers, isAlone)
 	m.publishTerm(wasHeld)
 	fleet := m.Fleet()
 	var messages []outgoing
--- a/monitor/check.go
+++ b/monitor/check.go
@@ -39,6 +39,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.config.Clock.Now()
+	if m.isStale {
+		m.touch()
+	}
 	if stall := now.Sub(m.lastTick); stall > stallIntervals*m.config.Interval {
 		m.table.forgive(now, stall)
 		clear(m.missing)
@@ -55,14 +58,13 @@
 
 // findMissing returns listed entries that should send heartbeats here and never have; the caller holds the mutex.
 func (m *Monitor) findMissing(now time.Time) []suspect {
-	expected := m.plan.watched(m.config.Self.ID)
 	for id := range m.missing {
-		if _, ok := m.table.records[id]; ok || !slices.Contains(expected, id) {
+		if _, ok := m.table.records[id]; ok || !slices.Contains(m.expected, id) {
 			delete(m.missing, id)
 		}
 	}
 	var found []suspect
-	for _, id := range expected {
+	for _, id := range m.expected {
 		if _, ok := m.table.records[id]; ok {
 			continue
 		}
@@ -72,7 +74,7 @@
 			continue
 		}
 		if now.Sub(since) > missingSilences*m.table.silence {
-			found = append(found, suspect{id: id, incarnation: m.view.states[id].Incarnation, watchers: m.plan.watchers[id]})
+			found = append(found, suspect{id: id, incarnation: m.view.states[id].Incarnation, watchers: m.plan.watchersOf(id)})
 		}
 	}
 	return found
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -30,7 +30,9 @@
 	DefaultMargin = 500 * time.Millisecond
 
 	rosterInterval = 2 * time.Second
-	recordLife     = time.Minute
+	// viewInterval bounds how often the view is worked out anew while many entries change.
+	viewInterval = 200 * time.Millisecond
+	recordLife   = time.Minute
 	// oldLifeSilences is after how many silences nobody can call a lapsed epoch failed any more.
 	oldLifeSilences = 4
 	// stallIntervals is how many intervals this process may stand still before it forgives silences.
@@ -63,16 +65,23 @@
 	news    chan struct{}
 
 	// mu guards what follows; no call to a peer or the platform is made under it.
-	mu      sync.Mutex
-	term    *term
-	table   *watchTable
-	view    *view
-	plan    *plan
-	pending News
+	mu    sync.Mutex
+	term  *term
+	table *watchTable
+	view  *view
+	plan  *plan
+	// expected are the entries that this one watches by the plan.
+	expected []eelgrassbeam.EntryID
+	// watchers are the entries that watch this one by the plan.
+	watchers []eelgrassbeam.EntryID
+	pending  News
 	// missing holds since when expected heartbeats of entries without a record are missing.
 	missing  map[eelgrassbeam.EntryID]time.Time
 	lastTick time.Time
 	leaving  bool
+	// rebuilt is when the view was last published; isStale tells that it has changed since.
+	rebuilt time.Time
+	isStale bool
 }
 
 // holding is a term that is held.
@@ -205,7 +214,7 @@
 		return
 	}
 	m.pending.Roster = &delta
-	m.rebuild()
+	m.touch()
 	m.signal()
 }
 
@@ -217,10 +226,20 @@
 	}
 	m.pending.States = append(m.pending.States, fresh...)
 	m.logStates(fresh, "found")
-	m.rebuild()
+	m.touch()
 	m.signal()
 }
 
+// touch publishes a new view, at most one in viewInterval; check publishes a later one. The caller holds the mutex.
+func (m *Monitor) touch() {
+	now := m.config.Clock.Now()
+	m.isStale = now.Sub(m.rebuilt) < viewInterval
+	if !m.isStale {
+		m.rebuild()
+		m.rebuilt = now
+	}
+}
+
 // rebuild publishes a new view; the caller holds the mutex or is New.
 func (m *Monitor) rebuild() {
 	revision := uint64(1)
@@ -229,10 +248,12 @@
 	}
 	fleet := m.view.fleet(revision)
 	m.fleet.Store(fleet)
-	live := assigner.Live(fleet, func(e eelgrassbeam.Entry) bool { return e.ID != m.config.Self.ID })
-	m.plan = newPlan(append(live, m.config.Self))
+	live := m.view.ranked(fleet)
+	m.plan = newPlan(live)
+	m.expected = m.plan.watchedBy(m.config.Self.ID)
+	m.watchers = m.plan.watchersOf(m.config.Self.ID)
 	m.metrics.revision.Set(float64(revision))
-	m.metrics.live.Set(float64(len(live) + 1))
+	m.metrics.live.Set(float64(len(live)))
 }
 
 func (m *Monitor) signal() {
--- a/monitor/service.go
+++ b/monitor/service.go
@@ -119,7 +119,7 @@
 	fresh := m.view.merge(reply.States, m.config.Clock.Now())
 	m.logStates(fresh, "pulled")
 	if isChanged || len(fresh) > 0 {
-		m.rebuild()
+		m.touch()
 	}
 	return nil
 }
@@ -151,7 +151,7 @@
 	fresh.States = m.view.merge(news.States, m.config.Clock.Now())
 	m.logStates(fresh.States, "spread")
 	if !fresh.IsEmpty() {
-		m.rebuild()
+		m.touch()
 	}
 	return fresh, err
 }
--- a/monitor/view.go
+++ b/monitor/view.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/assigner"
 )
 
 // view is what this entry believes about the fleet: the roster and the agreed states of entries.
@@ -15,6 +16,9 @@
 	roster *Roster
 	// known tells that a roster has been read or pulled.
 	known bool
+	// base is the roster's fleet, and ring its entries in the order of the plan; nil after a change of the roster.
+	base *eelgrassbeam.Fleet
+	ring []eelgrassbeam.EntryID
 	// deltas lead to the roster, oldest first, as far as they are known.
 	deltas []RosterDelta
 	// isListed tells that the platform has listed this entry once; it leaves when it is listed no more.
@@ -65,6 +69,9 @@
 	if isChanged {
 		v.remember(v.roster.deltaTo(roster))
 	}
+	if isChanged {
+		v.base = nil
+	}
 	v.roster = roster
 	for id := range v.states {
 		if _, ok := roster.rows[string(id)]; !ok && id != v.self.ID {
@@ -122,24 +129,57 @@
 
 // fleet builds the immutable view; the entry itself is in it even before the platform lists it.
 func (v *view) fleet(revision uint64) *eelgrassbeam.Fleet {
-	fleet := eelgrassbeam.NewFleet(v.roster.list())
-	fleet.Revision = revision
-	if _, ok := fleet.Entry(v.self.ID); !ok {
-		i, _ := slices.BinarySearchFunc(fleet.Entries, v.self.ID, func(e eelgrassbeam.Entry, id eelgrassbeam.EntryID) int { return compare(e.ID, id) })
-		fleet.Entries = slices.Insert(fleet.Entries, i, v.self)
-		if v.isListed {
-			fleet.Entries[i].State = eelgrassbeam.InstanceLeaving
-		}
+	if v.base == nil {
+		v.base = v.listedFleet()
+		v.ring = ids(assigner.Rank(ringKey, v.base.Entries))
 	}
-	for i, entry := range fleet.Entries {
-		state, ok := v.states[entry.ID]
-		if ok && stateOrder(state.State) > stateOrder(entry.State) {
+	fleet := &eelgrassbeam.Fleet{Revision: revision, Entries: slices.Clone(v.base.Entries), Upstreams: v.base.Upstreams}
+	for id, state := range v.states {
+		i, ok := slices.BinarySearchFunc(fleet.Entries, id, compareEntry)
+		if ok && stateOrder(state.State) > stateOrder(fleet.Entries[i].State) {
 			fleet.Entries[i].State = state.State
 		}
 	}
 	return fleet
 }
 
+func (v *view) listedFleet() *eelgrassbeam.Fleet {
+	fleet := eelgrassbeam.NewFleet(v.roster.list())
+	i, ok := slices.BinarySearchFunc(fleet.Entries, v.self.ID, compareEntry)
+	if ok {
+		return fleet
+	}
+	fleet.Entries = slices.Insert(fleet.Entries, i, v.self)
+	if v.isListed {
+		fleet.Entries[i].State = eelgrassbeam.InstanceLeaving
+	}
+	return fleet
+}
+
+// ranked returns the view's live entries, with this one among them, in the order of the plan.
+func (v *view) ranked(fleet *eelgrassbeam.Fleet) []eelgrassbeam.Entry {
+	ranked := make([]eelgrassbeam.Entry, 0, len(v.ring))
+	for _, id := range v.ring {
+		entry, ok := fleet.Entry(id)
+		if ok && (entry.State == eelgrassbeam.InstanceLive || id == v.self.ID) {
+			ranked = append(ranked, entry)
+		}
+	}
+	return ranked
+}
+
+func compareEntry(entry eelgrassbeam.Entry, id eelgrassbeam.EntryID) int {
+	return compare(entry.ID, id)
+}
+
+func ids(entries []eelgrassbeam.Entry) []eelgrassbeam.EntryID {
+	found := make([]eelgrassbeam.EntryID, len(entries))
+	for i, entry := range entries {
+		found[i] = entry.ID
+	}
+	return found
+}
+
 func digestState(state EntryState) uint64 {
 	digest := xxhash.New()
 	writeText(digest, string(state.ID))
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -26,6 +26,10 @@
 	// MaxMessageBytes bounds one message.
 	MaxMessageBytes = 80 << 20
 
+	// Fixed windows save the library's probes of the bandwidth, which cost more than a heartbeat.
+	streamWindowBytes = 1 << 20
+	connWindowBytes   = 4 << 20
+
 	backoffMax     = time.Second
 	connectTimeout = 2 * time.Second
 )
@@ -113,6 +117,7 @@
 		}),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
+		grpc.WithInitialWindowSize(streamWindowBytes), grpc.WithInitialConnWindowSize(connWindowBytes),
 		grpc.WithNoProxy(),
 		grpc.WithUnaryInterceptor(g.count),
 		grpc.WithDefaultCallOptions(
@@ -133,6 +138,7 @@
 	}
 	return grpc.NewServer(
 		grpc.Creds(creds),
+		grpc.InitialWindowSize(streamWindowBytes), grpc.InitialConnWindowSize(connWindowBytes),
 		grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: KeepaliveTime, Timeout: KeepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: KeepaliveTime / 2, PermitWithoutStream: true}),
