Pass each tree on once, whatever came by another

Two watchers of a zone each begin a tree. A node passed a push on only if its news was new, so one that had it from the other tree cut its children off until the comparison repaired it.

--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -17,7 +17,6 @@
 	"google.golang.org/grpc"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
-	"github.com/eelgrassbeam/eelgrassbeam/assigner"
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
 
@@ -29,10 +28,7 @@
 	// DefaultMargin covers the difference between clocks' rates and the time to act.
 	DefaultMargin = 500 * time.Millisecond
 
-	rosterInterval = 2 * time.Second
-	// viewInterval bounds how often the view is worked out anew while many entries change.
-	viewInterval = 200 * time.Millisecond
-	recordLife   = time.Minute
+	recordLife = time.Minute
 	// oldLifeSilences is after how many silences nobody can call a lapsed epoch failed any more.
 	oldLifeSilences = 4
 	// stallIntervals is how many intervals this process may stand still before it forgives silences.
@@ -169,110 +165,6 @@
 	}
 }
 
-// refresh reads the platform's list where this entry is one of the readers, or knows no list yet.
-func (m *Monitor) refresh(ctx context.Context) {
-	isKnown := m.isRosterKnown()
-	if isKnown && !m.isReader() {
-		return
-	}
-	list, err := m.config.Store.Instances(ctx)
-	if err == nil {
-		m.offerRoster(newRoster(list))
-		return
-	}
-	for i := 0; i < len(m.config.Seeds) && !m.isRosterKnown(); i++ {
-		_ = m.Pull(ctx, m.config.Seeds[i])
-	}
-}
-
-func (m *Monitor) isRosterKnown() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.view.known
-}
-
-// isReader tells whether this entry is one of the two of its region that read the platform's list.
-func (m *Monitor) isReader() bool {
-	self := m.config.Self
-	readers := assigner.Rank("readers", assigner.Live(m.Fleet(), func(e eelgrassbeam.Entry) bool { return e.Region == self.Region }))
-	for _, reader := range readers[:min(len(readers), readersPerRegion)] {
-		if reader.ID == self.ID {
-			return true
-		}
-	}
-	return false
-}
-
-const readersPerRegion = 2
-
-// offerRoster takes over a roster that this entry read itself.
-func (m *Monitor) offerRoster(roster *Roster) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delta := m.view.roster.deltaTo(roster)
-	if !m.view.replaceRoster(roster) {
-		return
-	}
-	m.pending.Roster = &delta
-	m.touch()
-	m.signal()
-}
-
-// announce takes over states that this entry found itself; the caller holds the mutex.
-func (m *Monitor) announce(states ...EntryState) {
-	fresh := m.view.merge(states, m.config.Clock.Now())
-	if len(fresh) == 0 {
-		return
-	}
-	m.pending.States = append(m.pending.States, fresh...)
-	m.logStates(fresh, "found")
-	m.touch()
-	m.signal()
-}
-
-// touch publishes a new view, at most one in viewInterval; check publishes a later one. The caller holds the mutex.
-func (m *Monitor) touch() {
-	now := m.config.Clock.Now()
-	m.isStale = now.Sub(m.rebuilt) < viewInterval
-	if !m.isStale {
-		m.rebuild()
-		m.rebuilt = now
-	}
-}
-
-// rebuild publishes a new view; the caller holds the mutex or is New.
-func (m *Monitor) rebuild() {
-	revision := uint64(1)
-	if old := m.fleet.Load(); old != nil {
-		revision = old.Revision + 1
-	}
-	fleet := m.view.fleet(revision)
-	m.fleet.Store(fleet)
-	live := m.view.ranked(fleet)
-	m.plan = newPlan(live)
-	m.expected = m.plan.watchedBy(m.config.Self.ID)
-	m.watchers = m.plan.watchersOf(m.config.Self.ID)
-	m.metrics.revision.Set(float64(revision))
-	m.metrics.live.Set(float64(len(live)))
-}
-
-func (m *Monitor) signal() {
-	select {
-	case m.news <- struct{}{}:
-	default:
-	}
-}
-
-func (m *Monitor) logStates(states []EntryState, how string) {
-	for _, state := range states {
-		m.metrics.changes.WithLabelValues(string(state.State)).Inc()
-		m.config.Log.WithFields(logrus.Fields{
-			"event": "entry_state", "entry": string(state.ID), "state": string(state.State),
-			"incarnation": state.Incarnation, "flaps": state.Flaps, "how": how,
-		}).Info("")
-	}
-}
-
 // Register adds the monitor's service to the server between entries.
 func (m *Monitor) Register(registrar grpc.ServiceRegistrar) {
 	registrar.RegisterService(&serviceDesc, m)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -57,7 +58,10 @@
 	config  Config
 	metrics metrics
 	history *history
-	jobs    chan func(context.Context)
+	seen    *seen
+	// keys numbers the trees of news, above those of earlier processes.
+	keys atomic.Uint64
+	jobs chan func(context.Context)
 
 	// skipsVerify leaves a silent watch undetected; tests only.
 	skipsVerify bool
@@ -66,9 +70,10 @@
 // New returns a relayer.
 func New(config Config) *Relayer {
 	r := &Relayer{
-		config: config, metrics: newMetrics(config.Registerer), history: &history{},
+		config: config, metrics: newMetrics(config.Registerer), history: &history{}, seen: newSeen(),
 		jobs: make(chan func(context.Context), queueLength),
 	}
+	r.keys.Store(uint64(config.Clock.Now().UnixNano()))
 	config.Holder.Subscribe(r.applied)
 	return r
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -129,9 +129,13 @@
 			first := change(t, store, 0)
 			c := startCluster(t, store, 2, perZone, nil)
 			c.checkInForce(first)
+			slowest := time.Duration(0)
 			for i := range 5 {
-				c.checkInForce(change(t, store, i+1))
+				version, stored := change(t, store, i+1), time.Now()
+				c.checkInForce(version)
+				slowest = max(slowest, time.Since(stored))
 			}
+			t.Logf("%d entries: in force everywhere after %s at most", 2*perZone, slowest.Round(time.Millisecond))
 			report := c.nodes[0].InForce(t.Context(), 0)
 			is := is.New(t)
 			is.True(report.IsComplete())
@@ -198,6 +202,24 @@
 	is.True(c.nodes[0].Ready())
 }
 
+// TestOperatorEntrySpreads offers a stored change at one entry while no watch brings it.
+func TestOperatorEntrySpreads(t *testing.T) {
+	is := is.New(t)
+	store := storefake.New()
+	first := change(t, store, 0)
+	c := startCluster(t, store, 1, 6, nil)
+	c.checkInForce(first)
+	store.Set(func(s *storefake.Store) { s.Down = true })
+	next := configuration(first + 1)
+	for _, n := range c.nodes {
+		if !n.isWatcher() {
+			is.NoErr(n.config.Holder.Offer(next, holder.SourcePlatform))
+			break
+		}
+	}
+	c.checkInForce(next.Version)
+}
+
 func TestReportNamesMissing(t *testing.T) {
 	is := is.New(t)
 	store := storefake.New()
--- a/relayer/service.go
+++ b/relayer/service.go
@@ -69,19 +69,16 @@
 	if err := message.Validate(); err != nil {
 		return nil, err
 	}
-	if version, _ := r.config.Holder.InForce(); message.News != nil || message.Configuration != nil && message.Configuration.Version > version {
+	if r.seen.add(treeID{root: message.Root, key: message.Key, scope: message.Scope}) {
 		r.enqueue(func(ctx context.Context) { r.take(ctx, *message) })
 	}
 	return &pushReply{}, nil
 }
 
-// take takes the news over and sends it to this entry's children if any of it is new.
+// take takes the news over and sends it to this entry's children. They may lack what another tree has brought here before.
 func (r *Relayer) take(ctx context.Context, message push) {
-	isNew := r.takeUpdate(ctx, message.From, message.Configuration)
-	isNew = r.takeNews(ctx, message) || isNew
-	if !isNew {
-		return
-	}
+	r.takeUpdate(ctx, message.From, message.Configuration)
+	r.takeNews(ctx, message)
 	r.forward(ctx, message)
 	if message.Scope == scopeFleet {
 		message.Root, message.Scope = r.config.Self.ID, scopeZone
@@ -89,23 +86,18 @@
 	}
 }
 
-// takeUpdate applies the update, by a pull from the sender where it does not fit, and tells whether it was new.
-func (r *Relayer) takeUpdate(ctx context.Context, from eelgrassbeam.EntryID, received *update) bool {
-	if received == nil {
-		return false
+// takeUpdate applies the update, by a pull from the sender where it does not fit.
+func (r *Relayer) takeUpdate(ctx context.Context, from eelgrassbeam.EntryID, received *update) {
+	if version, _ := r.config.Holder.InForce(); received == nil || received.Version <= version {
+		return
 	}
-	before, _ := r.config.Holder.InForce()
-	if received.Version <= before {
-		return false
+	if err := r.apply(received); !errors.Is(err, errOtherBase) {
+		return
 	}
-	if err := r.apply(received); errors.Is(err, errOtherBase) {
-		r.metrics.snapshots.Inc()
-		if sender, ok := r.config.Fleet.Fleet().Entry(from); ok {
-			_ = r.pull(ctx, sender)
-		}
+	r.metrics.snapshots.Inc()
+	if sender, ok := r.config.Fleet.Fleet().Entry(from); ok {
+		_ = r.pull(ctx, sender)
 	}
-	after, _ := r.config.Holder.InForce()
-	return after > before
 }
 
 func (r *Relayer) apply(received *update) error {
@@ -123,20 +115,16 @@
 	return r.config.Holder.Offer(next, holder.SourcePeer)
 }
 
-// takeNews merges news about the fleet and tells whether any was new.
-func (r *Relayer) takeNews(ctx context.Context, message push) bool {
+// takeNews merges news about the fleet, by a pull from the sender where they do not fit.
+func (r *Relayer) takeNews(ctx context.Context, message push) {
 	if message.News == nil || r.config.Members == nil {
-		return false
+		return
 	}
-	fresh, err := r.config.Members.Merge(*message.News)
-	if errors.Is(err, monitor.ErrOtherBase) {
-		if sender, ok := r.config.Fleet.Fleet().Entry(message.From); ok {
-			before := r.config.Members.Digest()
-			_ = r.config.Members.Pull(ctx, sender.PeerAddress)
-			return !fresh.IsEmpty() || r.config.Members.Digest() != before
-		}
+	_, err := r.config.Members.Merge(*message.News)
+	sender, ok := r.config.Fleet.Fleet().Entry(message.From)
+	if ok && errors.Is(err, monitor.ErrOtherBase) {
+		_ = r.config.Members.Pull(ctx, sender.PeerAddress)
 	}
-	return !fresh.IsEmpty()
 }
 
 func (r *Relayer) pulled(_ context.Context, request *pullRequest) (*pullReply, error) {
@@ -174,7 +162,7 @@
 		if news.IsEmpty() {
 			continue
 		}
-		key := r.config.Members.Digest().States
+		key := r.keys.Add(1)
 		for _, reach := range []scope{scopeFleet, scopeZone} {
 			message := push{From: r.config.Self.ID, Root: r.config.Self.ID, Key: key, Scope: reach, News: &news}
 			r.enqueue(func(ctx context.Context) { r.forward(ctx, message) })
