Share the claims' writes among the homes

Cause: keyed confirmations wait for their claims. The fleet's 200 writes a second were shared among all live entries, and each entry divided its share among 8 buckets. At 7,000 entries a home would have had one write in 35 s. Ruled out: a bound for each entry, since only a bucket's home writes. Now each home of a bucket has an equal share, and 4 buckets in place of 8 make half as many homes. TestGroupCommit sets its rate by the configuration, to one write a second, and holds the same bound on the writes.

--- a/keeper/committer.go
+++ b/keeper/committer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
@@ -34,6 +35,7 @@
 	keeper   *Keeper
 	bucket   int
 	in       chan pending
+	limiter  *rate.Limiter // of writes
 	view     *view
 	slots    []slot // in order of time
 	sequence uint64
@@ -58,7 +60,7 @@
 func (c *committer) gather(ctx context.Context, first pending) []pending {
 	batch := []pending{first}
 	now := c.keeper.config.Clock.Now()
-	wait := max(gatherTime, c.keeper.limiter.ReserveN(now, 1).DelayFrom(now))
+	wait := max(gatherTime, c.limiter.ReserveN(now, 1).DelayFrom(now))
 	full := c.keeper.config.Clock.After(wait)
 	for len(batch) < maxBatch {
 		select {
@@ -208,7 +210,7 @@
 		if now.Sub(found.observed) <= c.keeper.keepTime()+runMargin {
 			continue
 		}
-		if c.keeper.limiter.AllowN(now, 1) {
+		if c.limiter.AllowN(now, 1) {
 			c.delete(ctx, found.object)
 		}
 		return
--- a/keeper/home.go
+++ b/keeper/home.go
@@ -9,7 +9,7 @@
 )
 
 // Buckets is the number of groups of keys. Each has one home entry a region and one kind of object.
-const Buckets = 8
+const Buckets = 4
 
 // Home returns the key's home: the live entry of the region that ranks first by rendezvous hashing.
 func Home(fleet *eelgrassbeam.Fleet, region eelgrassbeam.RegionID, key eelgrassbeam.IdempotencyKey) (eelgrassbeam.Entry, bool) {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -17,12 +17,12 @@
 
 const (
 	defaultWindow = 10 * time.Minute
-	// fleetWritesPerSecond bounds the claims' writes of all entries together.
+	// fleetWritesPerSecond bounds the claims' writes of all homes together.
 	fleetWritesPerSecond = 200
-	// entryWritesPerSecond bounds those of one entry of a small fleet.
-	entryWritesPerSecond = 40
-	defaultCapacity      = 100_000
-	defaultReplyBytes    = 8 << 20
+	// homeWritesPerSecond bounds those of one bucket's home in a fleet of few regions.
+	homeWritesPerSecond = 20
+	defaultCapacity     = 100_000
+	defaultReplyBytes   = 8 << 20
 
 	gatherTime    = 3 * time.Millisecond
 	commitTimeout = 3 * time.Second
@@ -47,7 +47,7 @@
 	Clock         eelgrassbeam.Clock
 	Log           logrus.FieldLogger
 	Registerer    prometheus.Registerer
-	// WritesPerSecond bounds this entry's writes of claims; 0 for an equal share of the fleet's.
+	// WritesPerSecond bounds the writes of claims for one bucket; 0 for an equal share of the fleet's.
 	WritesPerSecond float64
 	// Capacity bounds the number of keys remembered.
 	Capacity int
@@ -63,7 +63,6 @@
 type Keeper struct {
 	config     Config
 	table      *table
-	limiter    *rate.Limiter
 	metrics    metrics
 	committers [Buckets]*committer
 	// trustWrites is for tests: a claim counts without a look at other homes' claims.
@@ -84,7 +83,6 @@
 	k := &Keeper{
 		config:  config,
 		metrics: newMetrics(config.Registerer),
-		limiter: rate.NewLimiter(entryWritesPerSecond, entryWritesPerSecond),
 		table: &table{
 			clock: config.Clock, capacity: config.Capacity, replyBytes: config.ReplyBytes, records: make(map[scope]*record),
 		},
@@ -92,39 +90,13 @@
 	for bucket := range k.committers {
 		k.committers[bucket] = k.newCommitter(bucket)
 	}
-	if config.WritesPerSecond > 0 {
-		k.setRate(config.WritesPerSecond)
-	}
 	k.shareWrites()
 	return k
 }
 
-// setRate bounds this entry's writes to so many a second.
-func (k *Keeper) setRate(perSecond float64) {
-	k.limiter.SetLimitAt(k.config.Clock.Now(), rate.Limit(perSecond))
-	k.limiter.SetBurstAt(k.config.Clock.Now(), max(1, int(perSecond)))
-}
-
-// shareWrites follows the number of live entries, unless the rate is configured.
-func (k *Keeper) shareWrites() {
-	if k.config.WritesPerSecond <= 0 {
-		k.setRate(min(entryWritesPerSecond, fleetWritesPerSecond/float64(max(1, k.liveEntries()))))
-	}
-}
-
-func (k *Keeper) liveEntries() int {
-	n := 0
-	for _, entry := range k.config.Fleet.Fleet().Entries {
-		if entry.State == eelgrassbeam.InstanceLive {
-			n++
-		}
-	}
-	return n
-}
-
 func (k *Keeper) newCommitter(bucket int) *committer {
 	return &committer{
-		keeper: k, bucket: bucket, in: make(chan pending, queueLimit),
+		keeper: k, bucket: bucket, in: make(chan pending, queueLimit), limiter: rate.NewLimiter(homeWritesPerSecond, homeWritesPerSecond),
 		view: &view{
 			store: k.config.Store, clock: k.config.Clock, kind: fmt.Sprintf("claim_%d", bucket),
 			home: k.config.Self.ID, incarnation: k.config.Incarnation,
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -285,7 +285,7 @@
 	is := is.New(t)
 	var l ledger
 	store := storefake.New()
-	k := start(t, store, "a", func(k *Keeper) { k.limiter.SetBurst(1); k.limiter.SetLimit(20) })
+	k := start(t, store, "a", func(k *Keeper) { k.config.WritesPerSecond = 1; k.shareWrites() })
 	var group sync.WaitGroup
 	for i := range 400 {
 		group.Go(func() { _ = l.do(t, k, keyed("r", fmt.Sprintf("k%d", i), "x"), eelgrassbeam.OutcomeAnswered) })
--- a/keeper/window_test.go
+++ b/keeper/window_test.go
@@ -114,3 +114,19 @@
 	k.noteHome(bucket)
 	is.True(!may())
 }
+
+func TestShareWrites(t *testing.T) {
+	is := is.New(t)
+	view := &eelgrassbeam.Fleet{}
+	k := New(Config{Self: entry("a", "r"), Clock: clockwork.NewFakeClock(), Fleet: fleet{view}})
+	for _, regions := range []int{1, 3, 16} {
+		view.Entries = nil
+		for i := range 2 * regions {
+			view.Entries = append(view.Entries, entry("e", eelgrassbeam.RegionID(rune('a'+i%regions))))
+		}
+		k.shareWrites()
+		all := float64(k.committers[0].limiter.Limit()) * float64(Buckets*regions)
+		is.True(all <= fleetWritesPerSecond+0.001)
+		is.True(k.committers[0].limiter.Limit() >= 3)
+	}
+}
