Read all claims when the platform's watch is silent

Cause: after its write, a home asked for the bucket's changes by a watch without wait. A watch that never answers took all the time of the commit, so that nothing was left to read the list, and every new key was refused for as long as watches stayed silent. Now a read of changes gives up after one second, and the list is read for the next ten. TestSilentWatch failed before, with the first key refused after 3 s, and passes now.

--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -248,6 +248,29 @@
 	})
 }
 
+// silent is a store whose watches never answer.
+type silent struct{ eelgrassbeam.Store }
+
+func (silent) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (eelgrassbeam.ObjectEvents, error) {
+	<-ctx.Done()
+	return eelgrassbeam.ObjectEvents{}, eelgrassbeam.ErrUnavailable
+}
+
+func (s silent) List(ctx context.Context, kind string) (eelgrassbeam.ObjectList, error) {
+	if ctx.Err() != nil {
+		return eelgrassbeam.ObjectList{}, eelgrassbeam.ErrUnavailable
+	}
+	return s.Store.List(ctx, kind)
+}
+
+func TestSilentWatch(t *testing.T) {
+	var l ledger
+	k := start(t, silent{storefake.New()}, "a", nil)
+	for _, key := range []string{"k1", "k2", "k3", "k4", "k5", "k6"} {
+		assertReply(t, l.do(t, k, keyed("r", key, "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+	}
+}
+
 // TestAtMostOnce repeats keys at homes in three regions while the platform fails and loses answers.
 func TestAtMostOnce(t *testing.T) {
 	is := is.New(t)
--- a/keeper/view.go
+++ b/keeper/view.go
@@ -9,6 +9,12 @@
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
+const (
+	// eventsTimeout bounds a read of changes, so that time is left to read all claims.
+	eventsTimeout = time.Second
+	distrustTime  = 10 * time.Second
+)
+
 // seen is one object of claims as the platform showed it.
 type seen struct {
 	object   eelgrassbeam.Object // without its value
@@ -31,19 +37,25 @@
 	home        eelgrassbeam.EntryID
 	incarnation uint64
 
-	complete bool
-	revision uint64
-	objects  map[string]*seen
-	opaque   map[string]*seen
-	claims   map[uint64][]foreign
+	// distrusted is until when changes are not asked for, since the last answer was of no use.
+	distrusted time.Time
+	complete   bool
+	revision   uint64
+	objects    map[string]*seen
+	opaque     map[string]*seen
+	claims     map[uint64][]foreign
 }
 
 // catchUp reads until the own object shows; then all claims before it are known.
 func (v *view) catchUp(ctx context.Context, own eelgrassbeam.Object) error {
-	if v.complete {
+	if v.shows(own) {
+		return nil
+	}
+	if v.complete && v.clock.Now().After(v.distrusted) {
 		if err := v.readEvents(ctx); err == nil && v.shows(own) {
 			return nil
 		}
+		v.distrusted = v.clock.Now().Add(distrustTime)
 	}
 	if err := v.readAll(ctx); err != nil {
 		return err
@@ -59,11 +71,20 @@
 	return ok && found.object.Version == own.Version
 }
 
+// readEvents reads what has changed; it gives up early, as a watch may be silent.
 func (v *view) readEvents(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
+	defer cancel()
 	events, err := v.store.Watch(ctx, v.kind, v.revision, 0)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnclaimed, err)
 	}
+	v.take(events)
+	return nil
+}
+
+// take adds the changes that follow the view's revision.
+func (v *view) take(events eelgrassbeam.ObjectEvents) {
 	for _, event := range events.Events {
 		v.remove(event.Object.Name)
 		if !event.Deleted {
@@ -71,7 +92,6 @@
 		}
 	}
 	v.revision = max(v.revision, events.Revision)
-	return nil
 }
 
 func (v *view) readAll(ctx context.Context) error {
