Choose sites by load and shift between regions under grants

Cause: the sender knew its own region only: a region that was drained or full refused its callers while others stood idle.

The router takes the own zone while it has free slots, then another zone of the region, and another region only with a credit of the wallet. A queue counts only as far as it is as urgent as the request, so that a flood of background work shifts no urgent request. The dispatcher checks each shifted request's grant before it queues it, and tells queued requests by rank.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,6 +28,10 @@
 type Grants interface {
 	// Spend uses one credit of the grant for the request; false refuses it.
 	Spend(request eelgrassbeam.Request, now time.Time) bool
+	// Admitted is told once the request that spent a credit has its slot or is refused.
+	Admitted(site eelgrassbeam.Site)
+	// Observe takes the bytes of an exchange that a credit was spent on, both ways together.
+	Observe(site eelgrassbeam.Site, bytes int64)
 }
 
 // Config configures a Dispatcher.
@@ -78,7 +82,7 @@
 	reply := d.forward(ctx, request)
 	reply.Dispatcher = d.config.Self.ID
 	if s, ok := d.site(request.Site); ok {
-		reply = reply.WithLoad(s.queue.Load())
+		reply = reply.WithLoad(s.load())
 	}
 	return reply, nil
 }
@@ -121,15 +125,23 @@
 	if !ok {
 		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoDispatcher)
 	}
-	if d.config.Grants != nil && request.OriginRegion != d.config.Self.Region && !d.config.Grants.Spend(request, now) {
+	isShifted := d.config.Grants != nil && request.OriginRegion != d.config.Self.Region
+	if isShifted && !d.config.Grants.Spend(request, now) {
 		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoCapacity)
 	}
 	deadline := now.Add(request.TimeLeft.Duration)
-	slot, err := s.queue.Admit(ctx, request, deadline)
+	slot, err := s.admit(ctx, request, deadline)
+	if isShifted {
+		d.config.Grants.Admitted(request.Site)
+	}
 	if err != nil {
 		return d.refuse(request, err)
 	}
-	return d.exchange(ctx, request, s, slot, deadline)
+	reply := d.exchange(ctx, request, s, slot, deadline)
+	if isShifted && reply.Outcome == eelgrassbeam.OutcomeAnswered {
+		d.config.Grants.Observe(request.Site, request.Size()+reply.Size())
+	}
+	return reply
 }
 
 func (d *Dispatcher) refuse(request eelgrassbeam.Request, err error) eelgrassbeam.Reply {
--- a/request.go
+++ b/request.go
@@ -60,6 +60,9 @@
 	return r
 }
 
+// Size returns the bytes of target, header and body.
+func (r Request) Size() int64 { return int64(len(r.Target)+len(r.Body)) + headerSize(r.Header) }
+
 // Validate checks what a receiver relies on.
 func (r Request) Validate() error {
 	switch {
@@ -151,6 +154,17 @@
 	InProgress int `json:"in_progress"`
 	// Waiting is the number of queued requests.
 	Waiting int `json:"waiting"`
+	// RankWaiting are the queued requests of each rank, the most urgent rank first.
+	RankWaiting [RankCount]int `json:"rank_waiting"`
+}
+
+// Ahead returns the requests in progress and those queued that are as urgent as the rank or more so.
+func (l SiteLoad) Ahead(rank Rank) int {
+	ahead := l.InProgress
+	for _, waiting := range l.RankWaiting[:rank.Index()+1] {
+		ahead += waiting
+	}
+	return ahead
 }
 
 // NotRun returns the reply that the request was not run.
@@ -176,9 +190,11 @@
 }
 
 // Size returns the bytes of header and body.
-func (r Reply) Size() int64 {
-	total := len(r.Body)
-	for name, values := range r.Header {
+func (r Reply) Size() int64 { return int64(len(r.Body)) + headerSize(r.Header) }
+
+func headerSize(header http.Header) int64 {
+	total := 0
+	for name, values := range header {
 		for _, value := range values {
 			total += len(name) + len(value)
 		}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -27,8 +27,12 @@
 	noCapacityRetryAfter = time.Second
 )
 
-// ErrNoSite reports that no site may take the request.
-var ErrNoSite = errors.New("no site")
+var (
+	// ErrNoSite reports that no site may take the request.
+	ErrNoSite = errors.New("no site")
+	// ErrNoGrant reports that only other regions may take the request and that none has given a grant yet.
+	ErrNoGrant = errors.New("no grant")
+)
 
 // Choice is a site with the reason for it.
 type Choice struct {
@@ -97,6 +101,8 @@
 type Sender struct {
 	config  Config
 	attempt atomic.Uint64
+	// awaiting counts the requests that wait for a grant.
+	awaiting atomic.Int64
 }
 
 // New returns a Sender.
@@ -112,8 +118,8 @@
 	pause, reached := retryPause, 0
 	for attempt := 1; ; attempt++ {
 		request = request.WithAttempt(attempt, s.nextAttemptID())
-		reply, site := s.try(ctx, request, tried, deadline)
-		if !s.isRetryable(request, reply) {
+		reply, site, err := s.try(ctx, request, tried, deadline)
+		if errors.Is(err, ErrNoGrant) || !s.isRetryable(request, reply) {
 			return reply
 		}
 		if mayHaveReached(reply) {
@@ -144,31 +150,30 @@
 	return retrier.Share(configuration, name, s.config.Clock.Now())
 }
 
-// try makes one attempt and returns the site that it chose.
+// try makes one attempt and returns the site that it chose; an error tells why none was chosen.
 func (s *Sender) try(
 	ctx context.Context, request eelgrassbeam.Request, tried []eelgrassbeam.Site, deadline time.Time,
-) (eelgrassbeam.Reply, eelgrassbeam.Site) {
-	now := s.config.Clock.Now()
-	left := deadline.Sub(now)
-	if left <= 0 {
-		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonDeadline), eelgrassbeam.Site{}
-	}
-	choice, err := s.config.Chooser.Choose(request, tried, now)
+) (eelgrassbeam.Reply, eelgrassbeam.Site, error) {
+	choice, err := s.choose(ctx, request, tried, deadline)
 	if err != nil {
-		return noCapacity(request.ID), eelgrassbeam.Site{}
+		return noCapacity(request.ID), eelgrassbeam.Site{}, err
+	}
+	left := deadline.Sub(s.config.Clock.Now())
+	if left <= 0 {
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonDeadline), eelgrassbeam.Site{}, nil
 	}
 	request = request.WithSite(choice.Site, choice.Grant).WithTimeLeft(eelgrassbeam.Duration{Duration: left})
 	fleet := s.config.Fleet.Fleet()
 	owner, ok := s.config.Owners.Owner(fleet, choice.Site)
 	if !ok {
-		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoDispatcher), choice.Site
+		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoDispatcher), choice.Site, nil
 	}
 	s.decide(request, fleet, choice, owner)
 	reply := s.sendTo(ctx, owner, request)
 	if reply.Load != (eelgrassbeam.SiteLoad{}) {
 		s.config.Chooser.Observe(choice.Site, reply.Load, s.config.Clock.Now())
 	}
-	return reply, choice.Site
+	return reply, choice.Site, nil
 }
 
 func (s *Sender) sendTo(ctx context.Context, owner eelgrassbeam.Entry, request eelgrassbeam.Request) eelgrassbeam.Reply {
@@ -277,26 +282,3 @@
 	}
 	return append(tried, site)
 }
-
-func (s *Sender) logUnreached(request eelgrassbeam.Request, owner eelgrassbeam.Entry, err error) {
-	s.config.Log.WithFields(logrus.Fields{
-		"event": "peer_unreached", "request": request.ID, "attempt": request.AttemptID, "peer": owner.ID, "error": err,
-	}).Warn("")
-}
-
-func (s *Sender) logRetry(request eelgrassbeam.Request, reply eelgrassbeam.Reply) {
-	s.config.Log.WithFields(logrus.Fields{
-		"event": "retry", "request": request.ID, "attempt": request.AttemptID, "outcome": reply.Outcome, "reason": reply.Reason,
-	}).Info("")
-}
-
-func (s *Sender) decide(request eelgrassbeam.Request, fleet *eelgrassbeam.Fleet, choice Choice, owner eelgrassbeam.Entry) {
-	s.config.Decisions.Record(logger.Decision{
-		Kind: logger.KindDispatch, Request: request.ID, Versions: logger.Versions{Fleet: fleet.Revision},
-		Choice: choice.Site.String(), Reason: choice.Reason,
-		Fields: logger.Fields{
-			logger.Text("rank", request.Rank), logger.Text("dispatcher", owner.ID), logger.Int("attempt", request.Attempt),
-			logger.Int("grant", request.Grant),
-		},
-	})
-}
--- a/steerer/build.go
+++ b/steerer/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/caller"
 	"github.com/eelgrassbeam/eelgrassbeam/changer"
 	"github.com/eelgrassbeam/eelgrassbeam/dispatcher"
+	"github.com/eelgrassbeam/eelgrassbeam/granter"
 	"github.com/eelgrassbeam/eelgrassbeam/holder"
 	"github.com/eelgrassbeam/eelgrassbeam/keeper"
 	"github.com/eelgrassbeam/eelgrassbeam/logger"
@@ -25,6 +27,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/recorder"
 	"github.com/eelgrassbeam/eelgrassbeam/relayer"
 	"github.com/eelgrassbeam/eelgrassbeam/retrier"
+	"github.com/eelgrassbeam/eelgrassbeam/router"
 	"github.com/eelgrassbeam/eelgrassbeam/securer"
 	"github.com/eelgrassbeam/eelgrassbeam/sender"
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
@@ -114,15 +117,27 @@
 	s.recorder = recorder.New(recorder.Config{
 		Clock: s.config.Clock, Registerer: s.registry, Incarnation: s.incarnation,
 	})
+	s.granter = granter.New(granter.Config{
+		Self: s.self, Incarnation: s.incarnation, Clock: s.config.Clock, Decisions: s.decisions, Registerer: s.registry,
+		Fleet: s.monitor, Configuration: s.holder, Tenures: s.assigner, Loads: loads{s},
+	})
 	s.dispatcher = dispatcher.New(dispatcher.Config{
 		Self: s.self, Incarnation: s.incarnation, Clock: s.config.Clock, Log: s.config.Log, Decisions: s.decisions,
 		Registerer: s.registry, Fleet: s.monitor, Configuration: s.holder, Assigner: s.assigner,
-		Recorder: s.recorder, Upstreams: s.upstreams,
+		Grants: s.granter, Recorder: s.recorder, Upstreams: s.upstreams,
+	})
+	s.wallet = granter.NewWallet(granter.WalletConfig{
+		Self: s.self, Clock: s.config.Clock, Log: s.config.Log, Registerer: s.registry, Fleet: s.monitor,
+		Owners: s.assigner, Asker: granter.NewPeers(s.control), Observe: s.observeLoad,
+	})
+	s.router = router.New(router.Config{
+		Self: s.self, Fleet: s.monitor, Configuration: s.holder, Credits: s.wallet,
+		Random: rand.NewPCG(s.incarnation, 0),
 	})
 	s.sender = sender.New(sender.Config{
 		Self: s.self, Incarnation: s.incarnation, Clock: s.config.Clock, Log: s.config.Log, Decisions: s.decisions,
 		Fleet: s.monitor, Configuration: s.holder, Budget: retrier.New(retrier.Config{Registerer: s.registry}), Owners: s.assigner, Local: s.dispatcher, Remote: sender.NewPeers(s.pool),
-		Chooser: sender.NewNearest(sender.NearestConfig{Self: s.self, Fleet: s.monitor, Configuration: s.holder}),
+		Chooser: s.router,
 	})
 }
 
@@ -152,6 +167,19 @@
 // inProgress counts the site's exchanges at this entry's dispatcher, which is built after the assigner.
 func (s *Steerer) inProgress(site eelgrassbeam.Site) int { return s.dispatcher.SiteInProgress(site) }
 
+// observeLoad tells the router, which is built after the wallet, a site's load.
+func (s *Steerer) observeLoad(site eelgrassbeam.Site, load eelgrassbeam.SiteLoad, now time.Time) {
+	s.router.Observe(site, load, now)
+}
+
+// loads asks the dispatcher, which is built after the granter, for loads.
+type loads struct{ steerer *Steerer }
+
+// SiteLoad implements granter.Loads.
+func (l loads) SiteLoad(site eelgrassbeam.Site) (eelgrassbeam.SiteLoad, bool) {
+	return l.steerer.dispatcher.SiteLoad(site)
+}
+
 // buildServers builds the handlers of the three listeners.
 func (s *Steerer) buildServers(secure *securer.Securer) {
 	requests := caller.New(caller.Config{
@@ -174,4 +202,5 @@
 	s.monitor.Register(s.peers)
 	s.relayer.Register(s.peers)
 	s.assigner.Register(s.peers)
+	granter.Register(s.peers, s.granter)
 }
--- a/steerer/run.go
+++ b/steerer/run.go
@@ -45,7 +45,7 @@
 // runners are the parts that run beside the servers.
 func (s *Steerer) runners() []eelgrassbeam.Runner {
 	return []eelgrassbeam.Runner{
-		s.pool, s.control, s.monitor, s.relayer, s.assigner, s.upstreams, s.recorder, s.dispatcher, s.keeper,
+		s.pool, s.control, s.monitor, s.relayer, s.assigner, s.upstreams, s.recorder, s.dispatcher, s.keeper, s.granter, s.wallet,
 	}
 }
 
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/assigner"
 	"github.com/eelgrassbeam/eelgrassbeam/changer"
 	"github.com/eelgrassbeam/eelgrassbeam/dispatcher"
+	"github.com/eelgrassbeam/eelgrassbeam/granter"
 	"github.com/eelgrassbeam/eelgrassbeam/holder"
 	"github.com/eelgrassbeam/eelgrassbeam/keeper"
 	"github.com/eelgrassbeam/eelgrassbeam/logger"
@@ -26,6 +27,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/platform"
 	"github.com/eelgrassbeam/eelgrassbeam/recorder"
 	"github.com/eelgrassbeam/eelgrassbeam/relayer"
+	"github.com/eelgrassbeam/eelgrassbeam/router"
 	"github.com/eelgrassbeam/eelgrassbeam/sender"
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
 )
@@ -53,6 +55,9 @@
 	upstreams     *upstream.Client
 	recorder      *recorder.Recorder
 	dispatcher    *dispatcher.Dispatcher
+	granter       *granter.Granter
+	wallet        *granter.Wallet
+	router        *router.Router
 	sender        *sender.Sender
 	keeper        *keeper.Keeper
 	keys          *keeper.Router
