Wait for the platform before a new key is refused

Cause: one failed write of a claim refused all keys in it at once, although their callers had seconds left. Now a claim is tried again every 100 ms for half of the time to its deadline; the other half is left for the request. A test brings the platform back after two failed writes; the key was refused before and runs now. The tests of outages stand in a file of their own.

--- a/keeper/committer.go
+++ b/keeper/committer.go
@@ -20,6 +20,8 @@
 	ctx     context.Context
 	claim   Claim
 	verdict chan error // takes one value
+	// until is when a claim that can't be made is given up; a claim that ran is never given up.
+	until time.Time
 	// ran says that the request already runs; the claim is written for later homes.
 	ran bool
 }
@@ -39,7 +41,7 @@
 	view     *view
 	slots    []slot // in order of time
 	sequence uint64
-	late     []pending // requests that ran without a claim
+	again    []pending // claims that could not be made yet
 }
 
 func (c *committer) run(ctx context.Context) error {
@@ -49,13 +51,21 @@
 			return nil
 		case first := <-c.in:
 			c.commit(ctx, c.gather(ctx, first))
-		case <-c.keeper.config.Clock.After(sweepInterval):
+		case <-c.keeper.config.Clock.After(c.pause()):
 			c.sweep(ctx)
 		}
 		c.keeper.noteHome(c.bucket)
 	}
 }
 
+// pause is the time to the next sweep, short where claims wait to be made.
+func (c *committer) pause() time.Duration {
+	if len(c.again) > 0 {
+		return claimPause
+	}
+	return sweepInterval
+}
+
 // gather waits for claims that arrive together and for the write rate.
 func (c *committer) gather(ctx context.Context, first pending) []pending {
 	batch := []pending{first}
@@ -77,8 +87,8 @@
 
 // commit writes the claims and tells each caller whether its key is its own.
 func (c *committer) commit(ctx context.Context, batch []pending) {
-	batch = append(waiting(batch), c.late...)
-	c.late = nil
+	batch = waiting(append(batch, c.again...))
+	c.again = nil
 	if len(batch) == 0 {
 		return
 	}
@@ -109,11 +119,12 @@
 	if err == nil {
 		err = c.view.check(p.claim, object.Version)
 	}
+	retryable := errors.Is(err, ErrUnclaimed)
 	switch {
+	case retryable && (p.ran || c.keeper.config.Clock.Now().Before(p.until)):
+		c.again = append(c.again, p)
 	case !p.ran:
 		p.verdict <- err
-	case errors.Is(err, ErrUnclaimed):
-		c.late = append(c.late, p)
 	case err != nil:
 		c.keeper.config.Log.WithFields(logrus.Fields{
 			"event": "key_ran_twice", "bucket": c.bucket, "key_hash": p.claim.Key, "error": err,
@@ -200,10 +211,10 @@
 	return taken, true
 }
 
-// sweep expires claims, writes late ones and removes at most one object that nobody uses.
+// sweep expires claims, makes those that wait and removes at most one object that nobody uses.
 func (c *committer) sweep(ctx context.Context) {
 	c.view.expire(c.keeper.keepTime())
-	if len(c.late) > 0 {
+	if len(c.again) > 0 {
 		c.commit(ctx, nil)
 		return
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -27,6 +27,8 @@
 	gatherTime    = 3 * time.Millisecond
 	commitTimeout = 3 * time.Second
 	sweepInterval = 500 * time.Millisecond
+	// claimPause is the time between attempts to make a claim.
+	claimPause = 100 * time.Millisecond
 	// runMargin is the longest time from a claim to the end of its request.
 	runMargin  = time.Minute
 	retryAfter = time.Second
@@ -184,6 +186,7 @@
 func (k *Keeper) claim(ctx context.Context, key scope, fingerprint uint64) error {
 	p := pending{
 		ctx: ctx, claim: Claim{Key: key.hash(), Fingerprint: fingerprint}, verdict: make(chan error, 1),
+		until: k.claimUntil(ctx),
 	}
 	select {
 	case k.committers[bucketOf(key.key)].in <- p:
@@ -198,6 +201,16 @@
 	}
 }
 
+// claimUntil leaves half of the time to the deadline for the request itself.
+func (k *Keeper) claimUntil(ctx context.Context) time.Time {
+	now := k.config.Clock.Now()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return now.Add(commitTimeout)
+	}
+	return now.Add(deadline.Sub(now) / 2)
+}
+
 // claimLate has the claim written once the platform answers again.
 func (k *Keeper) claimLate(request eelgrassbeam.Request, claim Claim) {
 	p := pending{ctx: context.Background(), claim: claim, ran: true}
--- /dev/null
+++ b/keeper/outage_test.go
@@ -0,0 +1,132 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/storefake"
+)
+
+func TestPlatformDown(t *testing.T) {
+	setDown := func(store *storefake.Store, down bool) { store.Set(func(s *storefake.Store) { s.Down = down }) }
+	// outage sends a key to a home that is cut off from the platform, and once more to another home.
+	outage := func(t *testing.T, runUnclaimed bool) (eelgrassbeam.Reply, int) {
+		l := ledger{timeout: 400 * time.Millisecond}
+		cut := storefake.New()
+		setDown(cut, true)
+		a := start(t, cut, "a", func(k *Keeper) {
+			k.config.RunUnclaimed = runUnclaimed
+			for bucket := range k.held {
+				k.held[bucket] = holding{since: time.Now().Add(-time.Hour), noted: time.Now()}
+			}
+		})
+		reply := l.do(t, a, keyed("r1", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+		_ = l.do(t, start(t, storefake.New(), "b", nil), keyed("r2", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+		return reply, l.count("k1")
+	}
+	t.Run("refuses new keys", func(t *testing.T) {
+		reply, runs := outage(t, false)
+		assertReply(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonKeyUnknown)
+		is.New(t).Equal(runs, 1) // the other home's
+	})
+	t.Run("runs twice with unclaimed runs allowed", func(t *testing.T) {
+		reply, runs := outage(t, true)
+		assertReply(t, reply, eelgrassbeam.OutcomeAnswered, "")
+		is.New(t).Equal(runs, 2)
+	})
+	t.Run("waits for a platform that comes back in time", func(t *testing.T) {
+		var l ledger
+		store := storefake.New()
+		setDown(store, true)
+		k := start(t, store, "a", nil)
+		var group sync.WaitGroup
+		group.Go(func() {
+			waitFor(t, "a failed write", func() bool {
+				failed := 0
+				store.Set(func(s *storefake.Store) { failed = s.Calls["create"] })
+				return failed > 1
+			})
+			setDown(store, false)
+		})
+		assertReply(t, l.do(t, k, keyed("r1", "k1", "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+		group.Wait()
+	})
+	t.Run("replays recorded answers", func(t *testing.T) {
+		var l ledger
+		store := storefake.New()
+		k := start(t, store, "a", nil)
+		_ = l.do(t, k, keyed("r1", "k1", "x"), eelgrassbeam.OutcomeAnswered)
+		setDown(store, true)
+		assertReply(t, l.do(t, k, keyed("r2", "k1", "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+	})
+	t.Run("lost answers to writes do not lose the claim", func(t *testing.T) {
+		var l ledger
+		store := storefake.New()
+		store.Lose = func(operation string) bool { return operation == "create" }
+		k := start(t, store, "a", nil)
+		assertReply(t, l.do(t, k, keyed("r1", "k1", "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+	})
+}
+
+// silent is a store whose watches never answer.
+type silent struct{ eelgrassbeam.Store }
+
+func (silent) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (eelgrassbeam.ObjectEvents, error) {
+	<-ctx.Done()
+	return eelgrassbeam.ObjectEvents{}, eelgrassbeam.ErrUnavailable
+}
+
+func (s silent) List(ctx context.Context, kind string) (eelgrassbeam.ObjectList, error) {
+	if ctx.Err() != nil {
+		return eelgrassbeam.ObjectList{}, eelgrassbeam.ErrUnavailable
+	}
+	return s.Store.List(ctx, kind)
+}
+
+func TestSilentWatch(t *testing.T) {
+	var l ledger
+	k := start(t, silent{storefake.New()}, "a", nil)
+	for _, key := range []string{"k1", "k2", "k3", "k4", "k5", "k6"} {
+		assertReply(t, l.do(t, k, keyed("r", key, "x"), eelgrassbeam.OutcomeAnswered), eelgrassbeam.OutcomeAnswered, "")
+	}
+}
+
+// TestAtMostOnce repeats keys at homes in three regions while the platform fails and loses answers.
+func TestAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	l := ledger{timeout: 100 * time.Millisecond}
+	store := storefake.New()
+	random := rand.New(rand.NewPCG(1, 1))
+	store.Lose = func(string) bool { return random.IntN(5) == 0 }
+	homes := []*Keeper{start(t, store, "a", nil), start(t, store, "b", nil), start(t, store, "c", nil)}
+	answered := 0
+	for round := range 60 {
+		store.Set(func(s *storefake.Store) { s.Down = round%10 == 9 })
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		for i, k := range homes {
+			group.Go(func() {
+				reply := l.do(t, k, keyed(fmt.Sprintf("r%d-%d", round, i), fmt.Sprintf("k%d", round/2), "x"), eelgrassbeam.OutcomeAnswered)
+				mu.Lock()
+				defer mu.Unlock()
+				if reply.Outcome == eelgrassbeam.OutcomeAnswered {
+					answered++
+				}
+			})
+		}
+		group.Wait()
+	}
+	for key, runs := range l.runs {
+		if runs > 1 {
+			t.Errorf("%s ran %d times", key, runs)
+		}
+	}
+	is.True(answered > 0)
+}
