--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,7 +4,7 @@
 LDFLAGS := -X main.version=$(VERSION)
 export CGO_ENABLED := 1
 
-.PHONY: build demo test check capacity generate
+.PHONY: build demo test check capacity measure generate
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -18,6 +18,12 @@
 capacity: build
 	bin/eelgrassbeam-survey
 
+measure: build
+	bin/eelgrassbeam-demo -experiment flood -user consorcio
+	bin/eelgrassbeam-demo -experiment shift -user consorcio
+	bin/eelgrassbeam-demo -experiment flood -user sencnik
+	bin/eelgrassbeam-demo -experiment shift -user sencnik
+
 check:
 	script/bare-go
 	golangci-lint fmt --diff
--- a/cmd/eelgrassbeam-demo/main.go
+++ b/cmd/eelgrassbeam-demo/main.go
@@ -3,21 +3,99 @@
 
 import (
 	"context"
+	"encoding/json"
+	"flag"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrassbeam/eelgrassbeam"
 	"github.com/eelgrassbeam/eelgrassbeam/demonstrator"
 )
 
 func main() {
-	log := logrus.New()
-	log.SetLevel(logrus.ErrorLevel)
-	d := demonstrator.New(demonstrator.Config{Clock: clockwork.NewRealClock(), Log: log, Output: os.Stdout})
-	if err := d.Run(context.Background()); err != nil {
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "eelgrassbeam-demo:", err)
 		os.Exit(1)
 	}
 }
+
+func run() error {
+	experiment := flag.String("experiment", "", "flood or shift; none runs the demonstration")
+	user := flag.String("user", "consorcio", "whose sizes an experiment takes: consorcio or sencnik")
+	directory := flag.String("examples", "examples", "directory with the users' configurations")
+	length := flag.Duration("length", 5*time.Second, "time of each phase of an experiment")
+	flag.Parse()
+	log := logrus.New()
+	log.SetLevel(logrus.FatalLevel)
+	d := demonstrator.New(demonstrator.Config{Clock: clockwork.NewRealClock(), Log: log, Output: os.Stdout})
+	if *experiment == "" {
+		return d.Run(context.Background())
+	}
+	e, err := load(*user, *directory)
+	if err != nil {
+		return err
+	}
+	e.Length = *length
+	switch *experiment {
+	case "flood":
+		return d.Flood(context.Background(), e)
+	case "shift":
+		return d.Shift(context.Background(), e)
+	default:
+		return fmt.Errorf("experiment %q: want flood or shift", *experiment)
+	}
+}
+
+// load returns the sizes of the user with its example configuration.
+func load(user, directory string) (demonstrator.Experiment, error) {
+	e, ok := users[user]
+	if !ok {
+		return e, fmt.Errorf("user %q: want consorcio or sencnik", user)
+	}
+	data, err := os.ReadFile(directory + "/" + user + ".json")
+	if err != nil {
+		return e, err
+	}
+	return e, json.Unmarshal(data, &e.Plan.Configuration)
+}
+
+// experimentServiceTime is the mean time of a request in experiments.
+const experimentServiceTime = 60 * time.Millisecond
+
+// users are the sizes of both users.
+var users = map[string]demonstrator.Experiment{
+	"consorcio": {
+		Service: "booking", Customers: []eelgrassbeam.CustomerID{"quito", "cuenca", "guayaquil"},
+		Plan: demonstrator.Plan{
+			Places: []demonstrator.Place{
+				{Zone: "sierra-norte-1", Region: "sierra-norte"},
+				{Zone: "austro-1", Region: "austro"},
+				{Zone: "costa-1", Region: "costa"},
+				{Zone: "sierra-norte-2", Region: "sierra-norte"},
+				{Zone: "austro-2", Region: "austro"},
+				{Zone: "costa-2", Region: "costa"},
+			},
+			Entries: 9, Upstreams: map[eelgrassbeam.ServiceName]int{"booking": 16, "events": 14},
+			ServiceTime: experimentServiceTime, ConnectionCost: time.Millisecond,
+		},
+	},
+	"sencnik": {
+		Service: "orders", Customers: []eelgrassbeam.CustomerID{"workshop-1", "workshop-2", "workshop-3"},
+		Plan: demonstrator.Plan{
+			Places: []demonstrator.Place{
+				{Zone: "ljubljana-1", Region: "ljubljana"},
+				{Zone: "maribor-1", Region: "maribor"},
+				{Zone: "koper-1", Region: "koper"},
+				{Zone: "ljubljana-2", Region: "ljubljana"},
+				{Zone: "maribor-2", Region: "maribor"},
+				{Zone: "koper-2", Region: "koper"},
+			},
+			Entries: 9, Upstreams: map[eelgrassbeam.ServiceName]int{"orders": 12, "stock": 12},
+			ServiceTime: experimentServiceTime, ConnectionCost: time.Millisecond, ProbeCost: 6 * time.Millisecond,
+		},
+	},
+}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -8,28 +8,18 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
-	"github.com/eelgrassbeam/eelgrassbeam/platform"
-	"github.com/eelgrassbeam/eelgrassbeam/standin"
-	"github.com/eelgrassbeam/eelgrassbeam/steerer"
+	"github.com/eelgrassbeam/eelgrassbeam/loader"
 )
 
 const (
-	readyTimeout  = 10 * time.Second
-	readyPoll     = 20 * time.Millisecond
-	requestCount  = 4000
-	callerCount   = 24
-	serviceTime   = 5 * time.Millisecond
-	backendsASite = 2
-	seed          = 1
+	requestCount = 4000
+	callerCount  = 24
+	serviceTime  = 5 * time.Millisecond
 )
 
 //go:embed fleet.json
@@ -44,171 +34,66 @@
 	Log   logrus.FieldLogger
 	// Output receives the report.
 	Output io.Writer
-	// Requests is the size of the load, 4000 where zero.
-	Requests int
 }
 
-// Demonstrator is the whole system in one process.
-type Demonstrator struct {
-	config   Config
-	platform *standin.Platform
-	url      string
-	backends []*standin.Backend
-	entries  []*steerer.Steerer
-	servers  []*http.Server
-	group    *errgroup.Group
-}
+// Demonstrator runs systems in one process.
+type Demonstrator struct{ config Config }
 
-// New returns a Demonstrator; Run starts it.
-func New(config Config) *Demonstrator {
-	if config.Requests == 0 {
-		config.Requests = requestCount
-	}
-	return &Demonstrator{config: config}
-}
-
-// place is an availability zone in its region.
-type place struct {
-	zone   eelgrassbeam.ZoneID
-	region eelgrassbeam.RegionID
-}
+// New returns a Demonstrator.
+func New(config Config) *Demonstrator { return &Demonstrator{config: config} }
 
-var places = []place{
-	{"sierra-norte-1", "sierra-norte"}, {"sierra-norte-2", "sierra-norte"}, {"austro-1", "austro"}, {"austro-2", "austro"},
-}
-
-// Run starts all parts, sends the load, prints the report and stops the parts.
+// Run starts a small system in two regions, sends a load, prints the report and stops the parts.
 func (d *Demonstrator) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	d.group, ctx = errgroup.WithContext(ctx)
-	if err := d.start(ctx); err != nil {
-		cancel()
-		return errors.Join(err, d.group.Wait())
-	}
-	report, err := d.load(ctx)
-	if err == nil {
-		err = d.report(report)
+	plan := Plan{
+		Places: []Place{
+			{"sierra-norte-1", "sierra-norte"}, {"sierra-norte-2", "sierra-norte"}, {"austro-1", "austro"}, {"austro-2", "austro"},
+		},
+		Entries: 8, Upstreams: map[eelgrassbeam.ServiceName]int{"booking": 8, "events": 8},
+		ServiceTime: serviceTime, ConnectionCost: time.Millisecond,
 	}
-	cancel()
-	for _, server := range d.servers {
-		_ = server.Close()
-	}
-	return errors.Join(err, d.group.Wait())
-}
-
-func (d *Demonstrator) start(ctx context.Context) error {
-	d.platform = standin.NewPlatform(standin.PlatformConfig{Clock: d.config.Clock})
-	address, err := d.serve(d.platform.Server())
-	if err != nil {
+	if err := json.Unmarshal(fleetJSON, &plan.Configuration); err != nil {
 		return err
 	}
-	d.url = "http://" + address.String()
-	rows, err := d.startBackends()
+	s, err := start(ctx, plan, d.config.Clock, d.config.Log)
 	if err != nil {
 		return err
 	}
-	for i, p := range append(places, places...) {
-		row, err := d.startEntry(ctx, i, p)
-		if err != nil {
-			return err
-		}
-		rows = append(rows, row)
-	}
-	for _, row := range rows {
-		d.platform.PutInstance(row)
-	}
-	if err := d.storeConfiguration(ctx); err != nil {
-		return err
+	report, err := loader.New(loader.Config{
+		Entries: s.addresses(), Mix: mix, Requests: requestCount, Concurrency: callerCount,
+		Seed: seed, Prefix: "demo", Clock: d.config.Clock,
+	}).Run(ctx)
+	if err == nil {
+		err = d.report(report, s.runs())
 	}
-	return d.awaitReady(ctx)
+	return errors.Join(err, s.stop())
 }
 
-func (d *Demonstrator) startBackends() ([]eelgrassbeam.Instance, error) {
-	var rows []eelgrassbeam.Instance
-	for _, service := range []eelgrassbeam.ServiceName{"booking", "events"} {
-		for _, p := range places {
-			for n := range backendsASite {
-				id := fmt.Sprintf("%s-%s-%d", service, p.zone, n)
-				backend := standin.NewBackend(standin.BackendConfig{
-					ID: eelgrassbeam.UpstreamID(id), Service: service, ServiceTime: serviceTime,
-					ConnectionCost: time.Millisecond, Seed: seed, Clock: d.config.Clock,
-				})
-				address, err := d.serve(backend.Server())
-				if err != nil {
-					return nil, err
-				}
-				d.backends = append(d.backends, backend)
-				rows = append(rows, eelgrassbeam.Instance{
-					ID: id, Kind: eelgrassbeam.InstanceBackendServer, State: eelgrassbeam.InstanceLive,
-					Zone: p.zone, Region: p.region, Service: service, Address: address,
-				})
-			}
-		}
-	}
-	return rows, nil
+// mix is the callers' work: look-ups of tables, confirmations, lists of ceremonies and deposits.
+var mix = []loader.Kind{
+	{Service: "booking", Rank: eelgrassbeam.RankUrgent, Host: "booking.example", Method: "GET", Path: "/tables", Weight: 4, Customers: houses},
+	{
+		Service: "booking", Rank: eelgrassbeam.RankUrgent, Host: "booking.example", Method: "POST", Path: "/confirmations",
+		Weight: 2, Customers: houses, Keyed: true,
+	},
+	{Service: "events", Rank: eelgrassbeam.RankStandard, Host: "events.example", Method: "POST", Path: "/deposits", Weight: 1, Customers: houses},
+	{Service: "events", Rank: eelgrassbeam.RankBackground, Host: "events.example", Method: "GET", Path: "/ceremonies", Weight: 3, Customers: houses},
 }
 
-func (d *Demonstrator) startEntry(ctx context.Context, n int, p place) (eelgrassbeam.Instance, error) {
-	loopback := netip.MustParseAddrPort("127.0.0.1:0")
-	entry, err := steerer.New(steerer.Config{
-		ID: eelgrassbeam.EntryID(fmt.Sprintf("entry-%d", n+1)), Zone: p.zone, Region: p.region, Version: "demo",
-		CallerAddress: loopback, PeerAddress: loopback, OperatorAddress: loopback,
-		PlatformURL: d.url, PlatformTimeout: time.Second, StopTimeout: time.Second,
-		LoadPath: "/standin/load", ProbePath: "/standin/health", DecisionLog: steerer.DecisionLogOff,
-		Clock: d.config.Clock, Log: d.config.Log,
-	})
-	if err != nil {
-		return eelgrassbeam.Instance{}, err
-	}
-	d.entries = append(d.entries, entry)
-	d.group.Go(func() error { return entry.Run(ctx, nil) })
-	self := entry.Entry()
-	return eelgrassbeam.Instance{
-		ID: string(self.ID), Kind: eelgrassbeam.InstanceEntry, State: eelgrassbeam.InstanceLive, Zone: p.zone, Region: p.region,
-		Address: self.Address, PeerAddress: self.PeerAddress, OperatorAddress: self.OperatorAddress,
-	}, nil
-}
+var houses = []eelgrassbeam.CustomerID{"quito", "cuenca", "guayaquil"}
 
-func (d *Demonstrator) serve(server *http.Server) (netip.AddrPort, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
+// report prints the load's report and fails if a request was lost, doubled or crossed.
+func (d *Demonstrator) report(report *loader.Report, runs map[string]int) error {
+	faults := report.Check(runs)
+	if err := report.Print(d.config.Output); err != nil {
+		return err
 	}
-	d.servers = append(d.servers, server)
-	d.group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	for _, fault := range faults {
+		if _, err := fmt.Fprintf(d.config.Output, "fault: %s: %s\n", fault.ID, fault.What); err != nil {
 			return err
 		}
-		return nil
-	})
-	return netip.MustParseAddrPort(listener.Addr().String()), nil
-}
-
-func (d *Demonstrator) storeConfiguration(ctx context.Context) error {
-	var configuration eelgrassbeam.Configuration
-	if err := json.Unmarshal(fleetJSON, &configuration); err != nil {
-		return err
-	}
-	store, err := platform.New(platform.Config{URL: d.url, Clock: d.config.Clock, Log: d.config.Log})
-	if err != nil {
-		return err
 	}
-	_, err = store.Create(ctx, "configuration", "fleet", fleetJSON)
-	return err
-}
-
-func (d *Demonstrator) awaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for _, entry := range d.entries {
-		for !entry.IsReady() {
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("entry %s is not ready: %w", entry.Entry().ID, ctx.Err())
-			case <-d.config.Clock.After(readyPoll):
-			}
-		}
+	if lost := report.Count(loader.Lost); len(faults) > 0 || lost > 0 {
+		return fmt.Errorf("%w: %d faults, %d requests lost", ErrBroken, len(faults), lost)
 	}
 	return nil
 }
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -6,6 +6,7 @@
 	"context"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -52,6 +53,8 @@
 	config  Config
 	metrics metrics
 	guards  guards
+	// accepted counts shifted requests.
+	accepted atomic.Int64
 
 	mu      sync.Mutex
 	shares  shares
@@ -104,6 +107,7 @@
 	result, versions := g.spend(request, now)
 	g.metrics.requests.WithLabelValues(string(result)).Inc()
 	if result == verdictAccepted {
+		g.accepted.Add(1)
 		return true
 	}
 	g.config.Decisions.Record(logger.Decision{
@@ -115,6 +119,9 @@
 	return false
 }
 
+// Accepted counts the shifted requests that were accepted since the start.
+func (g *Granter) Accepted() int64 { return g.accepted.Load() }
+
 // Admitted implements dispatcher.Grants: the request that spent a credit has its slot or is refused.
 func (g *Granter) Admitted(site eelgrassbeam.Site) {
 	g.mu.Lock()
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -41,6 +41,8 @@
 	Requests int
 	// Concurrency is the number of callers, each with one request at a time.
 	Concurrency int
+	// Rate is the number of requests a second while callers are free; zero sends without pause.
+	Rate float64
 	// Deadline goes with each request; zero sends none.
 	Deadline time.Duration
 	Seed     uint64
@@ -54,6 +56,7 @@
 	config Config
 	client *http.Client
 	next   atomic.Int64
+	begin  time.Time
 	mu     sync.Mutex
 	report *Report
 }
@@ -62,6 +65,7 @@
 func New(config Config) *Loader {
 	return &Loader{
 		config: config,
+		begin:  config.Clock.Now(),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: config.Concurrency}},
 		report: newReport(),
 	}
@@ -88,6 +92,7 @@
 		if n >= l.config.Requests || ctx.Err() != nil {
 			return ctx.Err()
 		}
+		l.pace(ctx, n)
 		kind := l.pick(random)
 		address, err := entries.entry(ctx)
 		if err != nil {
@@ -101,6 +106,18 @@
 	}
 }
 
+// pace waits until the n-th request is due.
+func (l *Loader) pace(ctx context.Context, n int) {
+	if l.config.Rate <= 0 {
+		return
+	}
+	due := l.begin.Add(time.Duration(float64(n) / l.config.Rate * float64(time.Second)))
+	select {
+	case <-ctx.Done():
+	case <-l.config.Clock.After(due.Sub(l.config.Clock.Now())):
+	}
+}
+
 func (l *Loader) pick(random *rand.Rand) Kind {
 	total := 0
 	for _, kind := range l.config.Mix {
--- a/steerer/status.go
+++ b/steerer/status.go
@@ -67,3 +67,6 @@
 	}
 	return stored, nil
 }
+
+// Shifted counts the requests of other regions that this entry's sites have accepted.
+func (s *Steerer) Shifted() int64 { return s.granter.Accepted() }
