Open no peer connection after the pool is closed

A call that raced with Close opened a connection that nobody closed; the leak check of the relayer's tests found it once in three parallel runs under the race detector.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -49,8 +50,12 @@
 	config PoolConfig
 	mu     sync.Mutex
 	conns  map[netip.AddrPort]*guarded
+	closed bool
 }
 
+// ErrClosed reports a connection asked for after the pool was closed.
+var ErrClosed = errors.New("peer pool is closed")
+
 // NewPool returns an empty pool.
 func NewPool(config PoolConfig) *Pool {
 	if config.Credentials == nil {
@@ -63,6 +68,9 @@
 func (p *Pool) Conn(address netip.AddrPort) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
 	if g, ok := p.conns[address]; ok {
 		g.idle = 0
 		return g.conn, nil
@@ -100,8 +108,13 @@
 	}
 }
 
-// Close closes all connections.
-func (p *Pool) Close() { p.Keep(nil) }
+// Close closes all connections; calls in progress fail, and Conn returns ErrClosed from then on.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Keep(nil)
+}
 
 func (p *Pool) options(g *guarded) []grpc.DialOption {
 	connect := grpc.ConnectParams{MinConnectTimeout: connectTimeout}
