--- a/monitor/beat.go
+++ b/monitor/beat.go
@@ -64,7 +64,7 @@
 	reply, err := peer.Call[ack](ctx, conn, Service, methodHeartbeat, &message.heartbeat)
 	if err != nil {
 		m.metrics.heartbeats.WithLabelValues("unreachable").Inc()
-		if isTimeout(err) {
+		if isTimeout(err) && !m.keepsSilent {
 			m.config.Pool.Evict(message.to.PeerAddress, conn)
 		}
 		return
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -60,6 +60,9 @@
 	held    atomic.Pointer[holding]
 	news    chan struct{}
 
+	// keepsSilent leaves connections open on which heartbeats time out; tests only.
+	keepsSilent bool
+
 	// mu guards what follows; no call to a peer or the platform is made under it.
 	mu    sync.Mutex
 	term  *term
--- a/monitor/monitor_test.go
+++ b/monitor/monitor_test.go
@@ -20,7 +20,13 @@
 	"github.com/eelgrassbeam/eelgrassbeam/storefake"
 )
 
-const patience = 20 * time.Second
+const (
+	patience = 20 * time.Second
+	// pace is the interval of heartbeats in most tests.
+	pace = 100 * time.Millisecond
+	// slowPace leaves time to spare where a test looks at a gap.
+	slowPace = 400 * time.Millisecond
+)
 
 // node is one entry's monitor with its listener.
 type node struct {
@@ -48,14 +54,23 @@
 }
 
 func start(t *testing.T, listener net.Listener, entry eelgrassbeam.Entry, store eelgrassbeam.Store, incarnation uint64, seeds ...netip.AddrPort) *node {
+	t.Helper()
+	return startNode(t, listener, entry, store, incarnation, seeds, pace, false)
+}
+
+func startNode(
+	t *testing.T, listener net.Listener, entry eelgrassbeam.Entry, store eelgrassbeam.Store,
+	incarnation uint64, seeds []netip.AddrPort, interval time.Duration, keepsSilent bool,
+) *node {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	pool := peer.NewPool(peer.PoolConfig{})
 	n := &node{listener: listener, pool: pool, server: peer.NewServer(nil), Monitor: New(Config{
 		Self: entry, Store: store, Pool: pool, Clock: clockwork.NewRealClock(), Log: log, Seeds: seeds, Incarnation: incarnation,
-		Interval: 100 * time.Millisecond, Term: 600 * time.Millisecond, Margin: 200 * time.Millisecond,
+		Interval: interval, Term: 6 * interval, Margin: 2 * interval,
 	})}
+	n.keepsSilent = keepsSilent
 	n.Register(n.server)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -72,6 +87,13 @@
 }
 
 func startFleet(t *testing.T, count int) ([]*node, *storefake.Store) {
+	t.Helper()
+	return startFleetWith(t, count, func(listener net.Listener) net.Listener { return listener }, pace, false)
+}
+
+func startFleetWith(
+	t *testing.T, count int, wrap func(net.Listener) net.Listener, interval time.Duration, keepsSilent bool,
+) ([]*node, *storefake.Store) {
 	t.Helper()
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	store := storefake.New()
@@ -79,12 +101,12 @@
 	var entries []eelgrassbeam.Entry
 	for i := range count {
 		listener, entry := listen(t, i)
-		listeners, entries = append(listeners, listener), append(entries, entry)
+		listeners, entries = append(listeners, wrap(listener)), append(entries, entry)
 		store.Set(func(s *storefake.Store) { s.Rows = append(s.Rows, row(entry)) })
 	}
 	var nodes []*node
 	for i := range listeners {
-		nodes = append(nodes, start(t, listeners[i], entries[i], store, 1000))
+		nodes = append(nodes, startNode(t, listeners[i], entries[i], store, 1000, nil, interval, keepsSilent))
 	}
 	return nodes, store
 }
