Spread a repaired configuration in the zone

A zone whose watchers cannot reach the platform got changes entry by entry, by comparison with other zones. An entry that pulled a change after a time of grace now begins a tree with it. News for all zones goes to a second entry of a zone whose first does not answer; no test of its own covers that yet.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -60,8 +60,9 @@
 	history *history
 	seen    *seen
 	// keys numbers the trees of news, above those of earlier processes.
-	keys atomic.Uint64
-	jobs chan func(context.Context)
+	keys  atomic.Uint64
+	jobs  chan func(context.Context)
+	lacks chan lack
 
 	// skipsVerify leaves a silent watch undetected; tests only.
 	skipsVerify bool
@@ -71,7 +72,7 @@
 func New(config Config) *Relayer {
 	r := &Relayer{
 		config: config, metrics: newMetrics(config.Registerer), history: &history{}, seen: newSeen(),
-		jobs: make(chan func(context.Context), queueLength),
+		jobs: make(chan func(context.Context), queueLength), lacks: make(chan lack, 1),
 	}
 	r.keys.Store(uint64(config.Clock.Now().UnixNano()))
 	config.Holder.Subscribe(r.applied)
@@ -101,7 +102,7 @@
 // Run watches, spreads and compares until the context ends.
 func (r *Relayer) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context){r.watch, r.verify, r.compare, r.spreadNews} {
+	for _, loop := range []func(context.Context){r.watch, r.verify, r.compare, r.repair, r.spreadNews} {
 		group.Go(func() error {
 			loop(ctx)
 			return nil
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -202,6 +202,26 @@
 	is.True(c.nodes[0].Ready())
 }
 
+// TestZoneWithoutPlatform cuts one zone off from the platform, but not from the other zone.
+func TestZoneWithoutPlatform(t *testing.T) {
+	store, down := storefake.New(), storefake.New()
+	down.Set(func(s *storefake.Store) { s.Down = true })
+	first := change(t, store, 0)
+	c := startCluster(t, store, 2, 16, func(r *Relayer) {
+		if r.config.Self.Zone == "z1" {
+			r.config.Store = down
+		}
+	})
+	c.checkInForce(first)
+	slowest := time.Duration(0)
+	for i := range 3 {
+		version, stored := change(t, store, i+1), time.Now()
+		c.checkInForce(version)
+		slowest = max(slowest, time.Since(stored))
+	}
+	t.Logf("in force everywhere after %s at most", slowest.Round(time.Millisecond))
+}
+
 // TestOperatorEntrySpreads offers a stored change at one entry while no watch brings it.
 func TestOperatorEntrySpreads(t *testing.T) {
 	is := is.New(t)
--- a/relayer/tree.go
+++ b/relayer/tree.go
@@ -96,15 +96,28 @@
 	var group errgroup.Group
 	for child := FanOut*i + 1; child <= FanOut*i+FanOut && child < len(nodes); child++ {
 		group.Go(func() error {
-			if nodes[child].ID == r.config.Self.ID || r.send(ctx, nodes[child], message) != nil {
-				r.sendChildren(ctx, nodes, child, message)
+			if nodes[child].ID != r.config.Self.ID && r.send(ctx, nodes[child], message) == nil {
+				return nil
 			}
+			r.sendAlternate(ctx, nodes[child], message)
+			r.sendChildren(ctx, nodes, child, message)
 			return nil
 		})
 	}
 	_ = group.Wait()
 }
 
+// sendAlternate sends to another entry of the zone whose delegate does not answer, as the root of its zone's tree.
+func (r *Relayer) sendAlternate(ctx context.Context, delegate eelgrassbeam.Entry, message push) {
+	if message.Scope != scopeFleet || delegate.ID == r.config.Self.ID {
+		return
+	}
+	others := slices.DeleteFunc(r.zoneMembers(delegate.Zone), func(e eelgrassbeam.Entry) bool { return e.ID == delegate.ID })
+	if other, ok := assigner.First(fmt.Sprint(message.Key), others); ok {
+		_ = r.send(ctx, other, message)
+	}
+}
+
 func (r *Relayer) send(ctx context.Context, to eelgrassbeam.Entry, message push) error {
 	_, err := call[pushReply](ctx, r, to, methodPush, &message)
 	r.metrics.pushes.WithLabelValues(resultOf(err)).Inc()
