--- /dev/null
+++ b/relayer/news_test.go
@@ -0,0 +1,94 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/monitor"
+	"github.com/eelgrassbeam/eelgrassbeam/storefake"
+)
+
+// fakeMembers takes states over and never pulls, so that only trees bring them.
+type fakeMembers struct {
+	mu    sync.Mutex
+	ready chan struct{}
+	news  monitor.News
+	known map[eelgrassbeam.EntryID]bool
+}
+
+func newFakeMembers() *fakeMembers {
+	return &fakeMembers{ready: make(chan struct{}, 1), known: make(map[eelgrassbeam.EntryID]bool)}
+}
+
+func (m *fakeMembers) NewsReady() <-chan struct{} { return m.ready }
+
+func (m *fakeMembers) TakeNews() monitor.News {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := m.news
+	m.news = monitor.News{}
+	return taken
+}
+
+func (m *fakeMembers) Merge(news monitor.News) (monitor.News, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, state := range news.States {
+		m.known[state.ID] = true
+	}
+	return news, nil
+}
+
+func (m *fakeMembers) Digest() monitor.Digest { return monitor.Digest{} }
+
+func (m *fakeMembers) Pull(context.Context, netip.AddrPort) error { return nil }
+
+func (m *fakeMembers) announce(id eelgrassbeam.EntryID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known[id] = true
+	m.news.States = append(m.news.States, monitor.EntryState{ID: id, State: eelgrassbeam.InstanceFailed})
+	m.ready <- struct{}{}
+}
+
+func (m *fakeMembers) knows(id eelgrassbeam.EntryID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known[id]
+}
+
+// TestNewsPassDeadEntries spreads news while an entry of the other zone is dead but not yet known to be.
+func TestNewsPassDeadEntries(t *testing.T) {
+	members := make(map[eelgrassbeam.EntryID]*fakeMembers)
+	c := startCluster(t, storefake.New(), 3, 3, func(r *Relayer) {
+		members[r.config.Self.ID] = newFakeMembers()
+		r.config.Members = members[r.config.Self.ID]
+	})
+	c.nodes[4].stop()
+	for round := range 12 {
+		id := eelgrassbeam.EntryID(fmt.Sprint("news-", round))
+		members[c.nodes[0].config.Self.ID].announce(id)
+		for i, n := range c.nodes {
+			if i != 4 {
+				checkKnows(t, members[n.config.Self.ID], id)
+			}
+		}
+	}
+}
+
+func checkKnows(t *testing.T, m *fakeMembers, id eelgrassbeam.EntryID) {
+	t.Helper()
+	timeout := time.After(patience)
+	for !m.knows(id) {
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-timeout:
+			t.Fatal(id, " did not arrive")
+		}
+	}
+}
