Ask the earlier home of a key for its answer

Cause: a home that took over a bucket found the claim of the earlier one and answered unknown, although the earlier one, leaving or only believed to have failed, still had the answer. It answers from its record and runs nothing. Before: key_unknown, as TestHomeLost still shows for a home that is gone; after: in_progress while the first runs, then its answer under the repeat's own id (TestRecall). TestClaimsExpire compared an error by identity; it looks into the error now and checks the home that it names as well.

--- a/keeper/answer.go
+++ b/keeper/answer.go
@@ -17,8 +17,9 @@
 
 // unclaimed refuses a request whose key may have run elsewhere.
 func (k *Keeper) unclaimed(ctx context.Context, request eelgrassbeam.Request, key scope, err error) eelgrassbeam.Reply {
-	if errors.Is(err, ErrClaimed) {
-		k.table.finish(key, nil)
+	var claimed *ClaimedError
+	if errors.As(err, &claimed) {
+		k.table.cede(key, claimed.Home)
 		return k.refused(request, eelgrassbeam.Unknown(request.ID, eelgrassbeam.ReasonKeyUnknown))
 	}
 	k.table.forget(key)
--- a/keeper/remote.go
+++ b/keeper/remote.go
@@ -15,6 +15,7 @@
 // Receiver is the side of a home that other entries call.
 type Receiver interface {
 	Do(ctx context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error)
+	Recall(request eelgrassbeam.Request) Recalled
 }
 
 // Register lets other entries call the receiver.
@@ -22,10 +23,17 @@
 	server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: keyService,
 		HandlerType: (*Receiver)(nil),
-		Methods: []grpc.MethodDesc{peer.Unary(keyService, "Do",
-			func(r Receiver, ctx context.Context, request *eelgrassbeam.Request) (*eelgrassbeam.Reply, error) {
-				return handleDo(ctx, r, request)
-			})},
+		Methods: []grpc.MethodDesc{
+			peer.Unary(keyService, "Do",
+				func(r Receiver, ctx context.Context, request *eelgrassbeam.Request) (*eelgrassbeam.Reply, error) {
+					return handleDo(ctx, r, request)
+				}),
+			peer.Unary(keyService, "Recall",
+				func(r Receiver, _ context.Context, request *eelgrassbeam.Request) (*Recalled, error) {
+					recalled := r.Recall(*request)
+					return &recalled, nil
+				}),
+		},
 	}, receiver)
 }
 
@@ -57,3 +65,16 @@
 	}
 	return *reply, nil
 }
+
+// Recall implements Remote.
+func (p *Peers) Recall(ctx context.Context, home eelgrassbeam.Entry, request eelgrassbeam.Request) (Recalled, error) {
+	conn, err := p.pool.Conn(home.PeerAddress)
+	if err != nil {
+		return Recalled{}, err
+	}
+	recalled, err := peer.Call[Recalled](ctx, conn, keyService, "Recall", &request)
+	if err != nil {
+		return Recalled{}, fmt.Errorf("recall at %s: %w", home.ID, err)
+	}
+	return *recalled, nil
+}
--- a/keeper/router.go
+++ b/keeper/router.go
@@ -19,6 +19,8 @@
 // Remote brings a request with a key to its home. An error means that nothing is known about the outcome.
 type Remote interface {
 	Do(ctx context.Context, home eelgrassbeam.Entry, request eelgrassbeam.Request) (eelgrassbeam.Reply, error)
+	// Recall asks an earlier home what it knows about the request's key.
+	Recall(ctx context.Context, home eelgrassbeam.Entry, request eelgrassbeam.Request) (Recalled, error)
 }
 
 // RouterConfig configures a Router.
@@ -93,10 +95,22 @@
 	deadline := r.config.Clock.Now().Add(request.TimeLeft.Duration)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), request.TimeLeft.Duration)
 	defer cancel()
-	return r.config.Keeper.Do(ctx, request, func(ctx context.Context) (eelgrassbeam.Reply, error) {
+	reply, err := r.config.Keeper.Do(ctx, request, func(ctx context.Context) (eelgrassbeam.Reply, error) {
 		left := deadline.Sub(r.config.Clock.Now())
 		return r.config.Run(ctx, request.WithTimeLeft(eelgrassbeam.Duration{Duration: left}))
 	})
+	if err != nil || reply.Reason != eelgrassbeam.ReasonKeyUnknown {
+		return reply, err
+	}
+	if recalled, ok := r.recall(ctx, request); ok {
+		return recalled, nil
+	}
+	return reply, nil
+}
+
+// Recall implements Receiver.
+func (r *Router) Recall(request eelgrassbeam.Request) Recalled {
+	return r.config.Keeper.Recall(request)
 }
 
 // InProgress returns the number of requests that this entry serves as a home; a planned stop waits for them.
--- a/keeper/router_test.go
+++ b/keeper/router_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -29,6 +30,10 @@
 	return reply, err
 }
 
+func (l *lossy) Recall(_ context.Context, _ eelgrassbeam.Entry, request eelgrassbeam.Request) (Recalled, error) {
+	return l.home.Recall(request), nil
+}
+
 // routers returns a home and a router of another entry that reaches it through the remote.
 func routers(t *testing.T, runs *atomic.Int64, remote func(home *Router) (Remote, eelgrassbeam.Entry)) *Router {
 	t.Helper()
@@ -70,16 +75,7 @@
 	})
 	t.Run("over gRPC", func(t *testing.T) {
 		assertRunsOnce(t, func(home *Router) (Remote, eelgrassbeam.Entry) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.New(t).NoErr(err)
-			server, pool := peer.NewServer(nil), peer.NewPool(peer.PoolConfig{})
-			Register(server, home)
-			done := make(chan error, 1)
-			go func() { done <- server.Serve(listener) }()
-			t.Cleanup(func() { pool.Close(); server.Stop(); <-done })
-			reached := home.config.Self
-			reached.PeerAddress = listener.Addr().(*net.TCPAddr).AddrPort()
-			return NewPeers(pool), reached
+			return serveHome(t, home)
 		})
 	})
 	t.Run("a home that does not answer leaves the outcome unknown", func(t *testing.T) {
@@ -95,6 +91,59 @@
 	})
 }
 
+// serveHome serves the home over gRPC and returns a remote with the entry to call.
+func serveHome(t *testing.T, home *Router) (Remote, eelgrassbeam.Entry) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server, pool := peer.NewServer(nil), peer.NewPool(peer.PoolConfig{})
+	Register(server, home)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() { pool.Close(); server.Stop(); <-done })
+	reached := home.config.Self
+	reached.PeerAddress = listener.Addr().(*net.TCPAddr).AddrPort()
+	return NewPeers(pool), reached
+}
+
+// TestRecall repeats a key at a home that took over while the earlier home is still there.
+func TestRecall(t *testing.T) {
+	is := is.New(t)
+	store := storefake.New()
+	entered, leave := make(chan struct{}), make(chan struct{})
+	config := func(id eelgrassbeam.EntryID) RouterConfig {
+		k := start(t, store, id, nil)
+		return RouterConfig{
+			Self: k.config.Self, Fleet: k.config.Fleet, Keeper: k, Clock: clockwork.NewRealClock(), Log: k.config.Log,
+			Run: func(_ context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error) {
+				close(entered) // panics in a second run
+				<-leave
+				return eelgrassbeam.Reply{RequestID: request.ID, Outcome: eelgrassbeam.OutcomeAnswered, Status: 201}, nil
+			},
+		}
+	}
+	earlier := NewRouter(config("earlier"))
+	remote, reached := serveHome(t, earlier)
+	later := config("later")
+	later.Remote = remote
+	later.Fleet = fleet{&eelgrassbeam.Fleet{Entries: []eelgrassbeam.Entry{reached, later.Self}}}
+	request := keyed("r1", "k1", "x").WithTimeLeft(eelgrassbeam.Seconds(10))
+	request.Rank, request.Origin, request.OriginRegion = eelgrassbeam.RankUrgent, "later", later.Self.Region
+	var group sync.WaitGroup
+	group.Go(func() { _ = earlier.Route(context.Background(), request) })
+	<-entered
+	request.ID = "r2"
+	assertReply(t, NewRouter(later).Route(t.Context(), request), eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonInProgress)
+	close(leave)
+	group.Wait()
+	request.ID = "r3"
+	reply := NewRouter(later).Route(t.Context(), request)
+	assertReply(t, reply, eelgrassbeam.OutcomeAnswered, "")
+	is.Equal(reply.RequestID, eelgrassbeam.RequestID("r3"))
+	request.Body = []byte("other")
+	assertReply(t, NewRouter(later).Route(t.Context(), request), eelgrassbeam.OutcomeNotRun, eelgrassbeam.ReasonKeyReused)
+}
+
 func TestCallerGone(t *testing.T) {
 	is := is.New(t)
 	ctx, leave := context.WithCancel(t.Context())
--- a/keeper/table.go
+++ b/keeper/table.go
@@ -24,6 +24,8 @@
 	claimed time.Time
 	// reply is nil while the request runs, and once it was dropped or its outcome is not known.
 	reply *eelgrassbeam.Reply
+	// home is another home that claimed the key and may know the answer.
+	home  eelgrassbeam.EntryID
 	bytes int64
 	ended time.Time
 }
@@ -104,6 +106,25 @@
 	}
 }
 
+// cede records that another home claimed the key.
+func (t *table) cede(key scope, home eelgrassbeam.EntryID) {
+	t.finish(key, nil)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records[key].home = home
+}
+
+// find returns what is known about the key.
+func (t *table) find(key scope) (record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.records[key]
+	if !ok {
+		return record{}, false
+	}
+	return *known, true
+}
+
 // dropReply forgets the reply, not that the request ran. The caller holds the lock.
 func (t *table) dropReply(old ending) {
 	known, ok := t.records[old.scope]
--- a/keeper/view.go
+++ b/keeper/view.go
@@ -23,7 +23,8 @@
 // seen is one object of claims as the platform showed it.
 type seen struct {
 	object   eelgrassbeam.Object // without its value
-	claims   []Claim             // of other homes and other runs only
+	home     eelgrassbeam.EntryID
+	claims   []Claim // of other homes and other runs only
 	expired  bool
 	observed time.Time
 }
@@ -165,7 +166,7 @@
 	if decoded.Home == v.home && decoded.Incarnation == v.incarnation {
 		return
 	}
-	added.claims = decoded.Claims
+	added.home, added.claims = decoded.Home, decoded.Claims
 	for _, claim := range decoded.Claims {
 		v.claims[claim.Key] = append(v.claims[claim.Key], foreign{from: added, fingerprint: claim.Fingerprint})
 	}
@@ -214,14 +215,14 @@
 		switch {
 		case other.from.object.Version >= version:
 		case other.fingerprint == claim.Fingerprint:
-			return ErrClaimed
+			return &ClaimedError{Home: other.from.home}
 		default:
 			reused = ErrReused
 		}
 	}
 	for _, found := range v.opaque {
 		if !found.expired && found.object.Version < version {
-			return fmt.Errorf("%w: object %s is unreadable", ErrClaimed, found.object.Name)
+			return &ClaimedError{}
 		}
 	}
 	return reused
--- a/keeper/window_test.go
+++ b/keeper/window_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"testing"
 	"time"
 
@@ -63,7 +64,10 @@
 	own, err := c.write(t.Context(), []pending{{claim: claim}})
 	is.NoErr(err)
 	is.NoErr(c.view.catchUp(t.Context(), own))
-	is.Equal(c.view.check(claim, own.Version), ErrClaimed)
+	var claimed *ClaimedError
+	is.True(errors.As(c.view.check(claim, own.Version), &claimed))
+	is.Equal(claimed.Home, eelgrassbeam.EntryID("other"))
+	is.True(errors.Is(claimed, ErrClaimed))
 	clock.Advance(k.keepTime() + time.Second)
 	c.view.expire(k.keepTime())
 	is.NoErr(c.view.check(claim, own.Version))
