Count the bytes of shifted exchanges and share credits by rank

Cause: the link budget went by a mean size alone, which large answers outrun, and a less urgent rank could take the credits that urgent requests wait for.

The bytes of the exchanges that ended in the last interval and the mean size of those in progress now count together. Of four credits three go to the most urgent rank that waits and one to the least urgent, so that no rank is left without.

Ruled out: all credits to the most urgent rank, since an urgent flood would leave the others nothing in a drained region.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,7 +30,7 @@
 	Spend(request eelgrassbeam.Request, now time.Time) bool
 	// Admitted is told once the request that spent a credit has its slot or is refused.
 	Admitted(site eelgrassbeam.Site)
-	// Observe takes the bytes of an exchange that a credit was spent on, both ways together.
+	// Observe is told once that request has ended, with the bytes of both ways.
 	Observe(site eelgrassbeam.Site, bytes int64)
 }
 
@@ -125,23 +125,28 @@
 	if !ok {
 		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoDispatcher)
 	}
-	isShifted := d.config.Grants != nil && request.OriginRegion != d.config.Self.Region
-	if isShifted && !d.config.Grants.Spend(request, now) {
+	if d.config.Grants == nil || request.OriginRegion == d.config.Self.Region {
+		return d.queue(ctx, request, s, now.Add(request.TimeLeft.Duration), func() {})
+	}
+	if !d.config.Grants.Spend(request, now) {
 		return eelgrassbeam.NotRun(request.ID, eelgrassbeam.ReasonNoCapacity)
 	}
-	deadline := now.Add(request.TimeLeft.Duration)
+	admitted := func() { d.config.Grants.Admitted(request.Site) }
+	reply := d.queue(ctx, request, s, now.Add(request.TimeLeft.Duration), admitted)
+	d.config.Grants.Observe(request.Site, request.Size()+reply.Size())
+	return reply
+}
+
+// queue waits for a slot and runs the request; admitted is called once it has its slot or is refused.
+func (d *Dispatcher) queue(
+	ctx context.Context, request eelgrassbeam.Request, s *site, deadline time.Time, admitted func(),
+) eelgrassbeam.Reply {
 	slot, err := s.admit(ctx, request, deadline)
-	if isShifted {
-		d.config.Grants.Admitted(request.Site)
-	}
+	admitted()
 	if err != nil {
 		return d.refuse(request, err)
 	}
-	reply := d.exchange(ctx, request, s, slot, deadline)
-	if isShifted && reply.Outcome == eelgrassbeam.OutcomeAnswered {
-		d.config.Grants.Observe(request.Site, request.Size()+reply.Size())
-	}
-	return reply
+	return d.exchange(ctx, request, s, slot, deadline)
 }
 
 func (d *Dispatcher) refuse(request eelgrassbeam.Request, err error) eelgrassbeam.Reply {
--- a/granter/account.go
+++ b/granter/account.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
 const (
@@ -9,6 +11,10 @@
 	minAskPause = 5 * time.Millisecond
 	// maxAskPause is the time between questions to a site that gives nothing.
 	maxAskPause = 500 * time.Millisecond
+	// missMemory is how long a rank that got no credit goes before others.
+	missMemory = 50 * time.Millisecond
+	// turns is the number of credits of which one goes to the least urgent rank that wants it, the others to the most urgent.
+	turns = 4
 )
 
 // account keeps an entry's credits for one site; it does not lock.
@@ -19,6 +25,9 @@
 	seen []grant
 	// demand counts the requests for credits since the last question.
 	demand int
+	// taken counts the credits that were used; missed holds when each rank last got none.
+	taken  int
+	missed [eelgrassbeam.RankCount]time.Time
 	asking bool
 	// next is the earliest time of the next question; pause is the time between questions.
 	next  time.Time
@@ -26,19 +35,35 @@
 }
 
 // take uses one credit and returns its grant.
-func (a *account) take(now time.Time) (uint64, bool) {
+func (a *account) take(rank eelgrassbeam.Rank, now time.Time) (uint64, bool) {
 	a.demand++
-	for len(a.grants) > 0 {
+	for len(a.grants) > 0 && a.isNext(rank.Index(), now) {
 		g := &a.grants[0]
 		if g.credits > 0 && now.Before(g.expires) {
 			g.credits--
+			a.taken++
 			return g.id, true
 		}
 		a.grants = a.grants[1:]
 	}
+	a.missed[rank.Index()] = now
 	return 0, false
 }
 
+// isNext tells whether no other rank that got none goes first.
+func (a *account) isNext(rank int, now time.Time) bool {
+	first := a.missed[:rank]
+	if a.taken%turns == turns-1 {
+		first = a.missed[rank+1:]
+	}
+	for _, missed := range first {
+		if now.Sub(missed) < missMemory {
+			return false
+		}
+	}
+	return true
+}
+
 // due returns how many credits to ask for now, 0 for none.
 func (a *account) due(now time.Time) int {
 	if a.asking || a.demand == 0 || now.Before(a.next) {
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -131,12 +131,12 @@
 	}
 }
 
-// Observe implements dispatcher.Grants: it takes the bytes of a shifted exchange, both ways together.
+// Observe implements dispatcher.Grants: the request that spent a credit has ended; bytes are those of both ways.
 func (g *Granter) Observe(site eelgrassbeam.Site, bytes int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l, ok := g.ledgers[site]; ok {
-		l.observe(bytes)
+		l.observe(bytes, g.config.Clock.Now())
 	}
 }
 
@@ -219,7 +219,7 @@
 		limit = 0
 	}
 	return limits{
-		rate:      g.shares.rate(site, int(math.Floor(limit*Interval.Seconds()))),
+		rate:      min(g.shares.rate(site, int(math.Floor(limit*Interval.Seconds()))), maxWindow),
 		linkBytes: defaults.LinkMegabits * megabit / bitsPerByte * g.shares.part(site) * Interval.Seconds(),
 		headroom:  defaults.RegionHeadroom, slowStart: defaults.SlowStart.Duration, load: load,
 	}, since, versions, true
--- a/granter/ledger.go
+++ b/granter/ledger.go
@@ -48,8 +48,10 @@
 	verdictAccepted verdict = "accepted"
 	// verdictUnknown says that the grant is unknown, spent or expired.
 	verdictUnknown verdict = "unknown"
-	// verdictCap says that the present cap or link budget is used up.
+	// verdictCap says that the present cap is used up.
 	verdictCap verdict = "cap"
+	// verdictLink says that the link budget is used up.
+	verdictLink verdict = "link"
 	// verdictBusy says that no slot is free beyond the headroom.
 	verdictBusy verdict = "busy"
 )
@@ -86,6 +88,9 @@
 	// arriving counts requests that have spent a credit and are not in the load yet.
 	arriving int
 	accepted window
+	// running counts requests that have spent a credit and have not ended; sizes holds the bytes of those that have.
+	running int
+	sizes   window
 	// warm is since when shifted work has come, last when it came last; zero for a cold site.
 	warm, last time.Time
 	meanBytes  float64
@@ -93,7 +98,7 @@
 }
 
 func newLedger(g guards) *ledger {
-	return &ledger{guards: g, accepted: window{interval: Interval}, meanBytes: firstExchangeBytes}
+	return &ledger{guards: g, accepted: window{interval: Interval}, sizes: window{interval: Interval}, meanBytes: firstExchangeBytes}
 }
 
 // begin withdraws the grants of an earlier tenure.
@@ -110,7 +115,7 @@
 	slots := limits.usable() - limits.load.InProgress - limits.load.Waiting - l.arriving - outstanding
 	room := l.ramped(limits, now) - l.accepted.count(now) - outstanding
 	// Half of what is free is left to other askers.
-	credits := min(want, (min(slots, room)+1)/2)
+	credits := min(want, (min(slots, room, l.linkRoom(limits, now)-outstanding)+1)/2)
 	if credits <= 0 {
 		return 0
 	}
@@ -127,8 +132,10 @@
 	busy := limits.load.InProgress + limits.load.Waiting + l.arriving
 	switch {
 	case l.guards.noCheck:
-	case l.accepted.count(now) >= l.rate(limits):
+	case l.accepted.count(now) >= limits.rate:
 		return verdictCap
+	case l.linkRoom(limits, now) <= 0:
+		return verdictLink
 	case busy >= limits.usable():
 		return verdictBusy
 	}
@@ -136,16 +143,20 @@
 		l.warm = now
 	}
 	l.last = now
-	l.accepted.add(now)
+	l.accepted.add(now, 1)
 	l.arriving++
+	l.running++
 	return verdictAccepted
 }
 
 // admitted ends the count of a spent credit as arriving.
 func (l *ledger) admitted() { l.arriving = max(l.arriving-1, 0) }
 
-// observe takes the bytes of an exchange.
-func (l *ledger) observe(bytes int64) {
+// observe ends a request that has spent a credit and takes its bytes.
+func (l *ledger) observe(bytes int64, now time.Time) {
+	now = l.advance(now)
+	l.running = max(l.running-1, 0)
+	l.sizes.add(now, bytes)
 	l.meanBytes = max(l.meanBytes+sizeWeight*(float64(bytes)-l.meanBytes), 1)
 }
 
@@ -187,14 +198,15 @@
 	return total
 }
 
-// rate returns the requests an interval that the cap and the link budget allow.
-func (l *ledger) rate(limits limits) int {
-	return max(0, min(limits.rate, int(min(limits.linkBytes/l.meanBytes, maxWindow)), maxWindow))
+// linkRoom returns how many more requests the link budget allows, if they are of the mean size.
+func (l *ledger) linkRoom(limits limits, now time.Time) int {
+	left := limits.linkBytes - float64(l.sizes.sum(now)) - float64(l.running)*l.meanBytes
+	return int(max(0, min(left/l.meanBytes, maxWindow)))
 }
 
 // ramped returns the rate that a site with cold caches may be given now.
 func (l *ledger) ramped(limits limits, now time.Time) int {
-	rate := l.rate(limits)
+	rate := limits.rate
 	if rate == 0 || limits.slowStart <= 0 {
 		return rate
 	}
--- a/granter/wallet.go
+++ b/granter/wallet.go
@@ -63,14 +63,14 @@
 }
 
 // Take uses one credit for the site and returns its grant; false where none is live. Either way more are asked for.
-func (w *Wallet) Take(site eelgrassbeam.Site, now time.Time) (uint64, bool) {
+func (w *Wallet) Take(site eelgrassbeam.Site, rank eelgrassbeam.Rank, now time.Time) (uint64, bool) {
 	w.mu.Lock()
 	a, known := w.accounts[site]
 	if !known {
 		a = &account{}
 		w.accounts[site] = a
 	}
-	id, ok := a.take(now)
+	id, ok := a.take(rank, now)
 	w.mu.Unlock()
 	select {
 	case w.wake <- struct{}{}:
--- a/router/router.go
+++ b/router/router.go
@@ -19,7 +19,7 @@
 // Credits are the credits that sites of other regions have given; granter.Wallet implements it.
 type Credits interface {
 	// Take uses one credit for the site and returns its grant; false where none is live.
-	Take(site eelgrassbeam.Site, now time.Time) (uint64, bool)
+	Take(site eelgrassbeam.Site, rank eelgrassbeam.Rank, now time.Time) (uint64, bool)
 }
 
 // Config configures a Router.
@@ -173,7 +173,7 @@
 	if q.wasTried(s) {
 		return 0, false
 	}
-	return r.config.Credits.Take(s.Site, q.now)
+	return r.config.Credits.Take(s.Site, q.rank, q.now)
 }
 
 func (r *Router) point() float64 {
