--- a/sender/record.go
+++ b/sender/record.go
@@ -29,3 +29,11 @@
 		},
 	})
 }
+
+func (s *Sender) logRefusal(request eelgrassbeam.Request, cause error) {
+	s.config.Decisions.Record(logger.Decision{
+		Kind: logger.KindDispatch, Request: request.ID, Versions: logger.Versions{Fleet: s.config.Fleet.Fleet().Revision},
+		Choice: "refuse", Reason: cause.Error(),
+		Fields: logger.Fields{logger.Text("rank", request.Rank), logger.Int("attempt", request.Attempt)},
+	})
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -156,6 +156,7 @@
 ) (eelgrassbeam.Reply, eelgrassbeam.Site, error) {
 	choice, err := s.choose(ctx, request, tried, deadline)
 	if err != nil {
+		s.logRefusal(request, err)
 		return noCapacity(request.ID), eelgrassbeam.Site{}, err
 	}
 	left := deadline.Sub(s.config.Clock.Now())
