Refuse early by the pace of a customer's own backlog

Cause: the expected wait counted only customers that wait now. Those that come and go slowed a waiting customer below the estimate, so that work was admitted that then waited to its deadline.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -200,7 +200,7 @@
 		if rank == nil {
 			return decided
 		}
-		ticket := rank.queue.pop()
+		ticket := rank.queue.pop(now)
 		if !ticket.deadline.After(now) {
 			decided = append(decided, decision{ticket: ticket, err: ErrDeadline})
 			continue
@@ -222,7 +222,7 @@
 	var decided []decision
 	for _, rank := range a.ranks {
 		for rank.queue.length > 0 {
-			decided = append(decided, decision{ticket: rank.queue.pop(), err: err})
+			decided = append(decided, decision{ticket: rank.queue.pop(a.advanced), err: err})
 		}
 	}
 	return decided
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -68,6 +68,17 @@
 			is.Equal(errors.Is(err, ErrDeadline), !off)
 		}
 	})
+	t.Run("counts the pace of the customer's own backlog", func(t *testing.T) {
+		is, s := is.New(t), newSite(t, 1)
+		running := s.submit("a", eelgrassbeam.RankUrgent, time.Second)
+		for range 3 {
+			is.NoErr(s.submit("a", eelgrassbeam.RankUrgent, time.Second).err)
+		}
+		s.clock.Advance(time.Second / 5)
+		running.slot.Release(Result{Outcome: OutcomeOK, Duration: time.Millisecond})
+		is.True(errors.Is(s.submit("a", eelgrassbeam.RankUrgent, time.Second/2).err, ErrDeadline))
+		is.NoErr(s.submit("b", eelgrassbeam.RankUrgent, time.Second/2).err)
+	})
 }
 
 func TestFairness(t *testing.T) {
@@ -94,7 +105,7 @@
 		}
 		served := make(map[eelgrassbeam.CustomerID]int)
 		for range 90 {
-			served[q.pop().request.Customer]++
+			served[q.pop(time.Time{}).request.Customer]++
 		}
 		is.Equal(served["b"], 30)
 		is.Equal(served["c"], 60)
@@ -108,7 +119,7 @@
 		served := 0
 		for i := range 10 {
 			q.push(&Ticket{request: request(eelgrassbeam.CustomerID(fmt.Sprint(i)), eelgrassbeam.RankUrgent)}, true)
-			if q.pop().request.Customer == "a" {
+			if q.pop(time.Time{}).request.Customer == "a" {
 				served++
 			}
 		}
--- a/admitter/policy.go
+++ b/admitter/policy.go
@@ -1,6 +1,10 @@
 package admitter
 
-import "github.com/eelgrassbeam/eelgrassbeam"
+import (
+	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
 
 // SetPolicy puts other floors, queue limits and customer weights in force. Waiting requests keep their order inside
 // their customer; those that no longer fit are refused as not run.
@@ -12,18 +16,19 @@
 	for _, rank := range a.ranks {
 		policy := service.Policy(rank.rank)
 		rank.floor = policy.Floor
-		decided = append(decided, rank.requeue(newFairQueue(policy.QueueLimit, weights), !a.guards.noFairness)...)
+		decided = append(decided, rank.requeue(newFairQueue(policy.QueueLimit, weights), !a.guards.noFairness, now)...)
 	}
 	decided = a.dispatch(now, decided)
 	a.mu.Unlock()
 	a.deliver(decided)
 }
 
-// requeue moves the waiting requests to the queue and returns those that it refuses.
-func (r *rankState) requeue(next *fairQueue, fair bool) []decision {
+// requeue moves the waiting requests, with their customers' paces, to the queue and returns those that it refuses.
+func (r *rankState) requeue(next *fairQueue, fair bool, now time.Time) []decision {
+	paces := r.queue.paces()
 	var refused []decision
 	for r.queue.length > 0 {
-		ticket := r.queue.pop()
+		ticket := r.queue.pop(now)
 		evicted, ok := next.push(ticket, fair)
 		if !ok {
 			evicted = ticket
@@ -32,6 +37,7 @@
 			refused = append(refused, decision{ticket: evicted, err: ErrQueueFull})
 		}
 	}
+	next.setPaces(paces)
 	r.queue = next
 	return refused
 }
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
@@ -30,6 +31,18 @@
 	deficit float64
 	tickets []*Ticket
 	element *list.Element
+	pace    pace
+}
+
+// pace is the mean time between starts of a customer's requests while others of it wait.
+type pace struct {
+	mean mean
+	last time.Time
+}
+
+func (p *pace) start(now time.Time) {
+	p.mean.add(now.Sub(p.last))
+	p.last = now
 }
 
 func newFairQueue(limit int, weights map[eelgrassbeam.CustomerID]float64) *fairQueue {
@@ -58,7 +71,7 @@
 		evicted = longest.tickets[len(longest.tickets)-1]
 		q.remove(evicted)
 	}
-	c := q.join(id)
+	c := q.join(id, ticket.queued)
 	ticket.customer = c
 	c.tickets = append(c.tickets, ticket)
 	q.length++
@@ -66,24 +79,25 @@
 }
 
 // pop returns the next ticket; the queue must not be empty.
-func (q *fairQueue) pop() *Ticket {
+func (q *fairQueue) pop(now time.Time) *Ticket {
 	for range q.round.Len() {
 		c := q.round.Front().Value.(*customerQueue)
 		c.deficit += c.quantum
 		if c.deficit >= 1 {
-			return q.take(c)
+			return q.take(c, now)
 		}
 		q.round.MoveToBack(c.element)
 	}
 	q.skipRounds()
-	return q.pop()
+	return q.pop(now)
 }
 
-func (q *fairQueue) take(c *customerQueue) *Ticket {
+func (q *fairQueue) take(c *customerQueue, now time.Time) *Ticket {
 	ticket := c.tickets[0]
 	c.tickets[0] = nil
 	c.tickets = c.tickets[1:]
 	c.deficit--
+	c.pace.start(now)
 	q.length--
 	q.round.MoveToBack(c.element)
 	q.leaveIfEmpty(c)
@@ -118,12 +132,12 @@
 	return true
 }
 
-func (q *fairQueue) join(id eelgrassbeam.CustomerID) *customerQueue {
+func (q *fairQueue) join(id eelgrassbeam.CustomerID, now time.Time) *customerQueue {
 	if c, ok := q.customers[id]; ok {
 		return c
 	}
 	weight := q.weight(id)
-	c := &customerQueue{id: id, weight: weight, quantum: weight / q.heaviest}
+	c := &customerQueue{id: id, weight: weight, quantum: weight / q.heaviest, pace: pace{last: now}}
 	c.element = q.round.PushBack(c)
 	q.customers[id] = c
 	q.activeWeight += weight
@@ -142,6 +156,20 @@
 	}
 }
 
+func (q *fairQueue) paces() map[eelgrassbeam.CustomerID]pace {
+	paces := make(map[eelgrassbeam.CustomerID]pace, len(q.customers))
+	for id, c := range q.customers {
+		paces[id] = c.pace
+	}
+	return paces
+}
+
+func (q *fairQueue) setPaces(paces map[eelgrassbeam.CustomerID]pace) {
+	for id, c := range q.customers {
+		c.pace = paces[id]
+	}
+}
+
 func (q *fairQueue) weight(id eelgrassbeam.CustomerID) float64 {
 	if weight := q.weights[id]; weight > 0 {
 		return weight
--- a/admitter/wait.go
+++ b/admitter/wait.go
@@ -19,7 +19,7 @@
 	return wait > time.Duration(a.config.WaitShare*float64(left)) || wait+ticket.rank.service.value > left
 }
 
-// expectedWait estimates the wait from the requests ahead and the rank's share of the slots.
+// expectedWait estimates the wait from the requests ahead, the rank's share of the slots and the customer's own backlog.
 func (a *Admitter) expectedWait(rank *rankState, customer eelgrassbeam.CustomerID) time.Duration {
 	slots := float64(a.upstreams.slots())
 	ahead := rank.queue.ahead(customer)
@@ -31,7 +31,7 @@
 		return longestWait
 	}
 	wait := (ahead + 1) * float64(a.service.value) / (share * slots)
-	return time.Duration(min(wait, float64(longestWait)))
+	return max(time.Duration(min(wait, float64(longestWait))), a.ownBacklog(rank, customer))
 }
 
 // expectedShare estimates the share of the slots that the rank gets while it has work.
@@ -44,3 +44,13 @@
 	}
 	return max(share, rank.floor)
 }
+
+// ownBacklog estimates the wait from the pace at which the customer's waiting
+// requests start: work of others that comes later slows it below the estimate by the queue alone.
+func (a *Admitter) ownBacklog(rank *rankState, customer eelgrassbeam.CustomerID) time.Duration {
+	c, ok := rank.queue.customers[customer]
+	if !ok {
+		return 0
+	}
+	return time.Duration(len(c.tickets)+1) * c.pace.mean.value
+}
