Use held slots when their holds end

Cause: a slot held back after a fast failure was used only at the next arrival or release, so that a lone waiting request could wait for longer than the hold. Admitter.Run waits for the holds; without it the admitter works as before. Ruled out: a timer in each waiting caller, which would wake all of them for one slot. Conclusion: go test -race ./admitter passes, with a test of callers at once.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -40,6 +40,8 @@
 	service   mean
 	advanced  time.Time
 	closed    bool
+	// held is signalled when a failure holds a slot back.
+	held chan struct{}
 }
 
 // guards hold the off switches of the rules that tests prove.
@@ -62,7 +64,7 @@
 	if config.WaitShare == 0 {
 		config.WaitShare = DefaultWaitShare
 	}
-	a := &Admitter{config: config, advanced: config.Clock.Now()}
+	a := &Admitter{config: config, advanced: config.Clock.Now(), held: make(chan struct{}, 1)}
 	for i, rank := range eelgrassbeam.Ranks() {
 		policy := config.Service.Policy(rank)
 		a.ranks[i] = &rankState{rank: rank, floor: policy.Floor, queue: newFairQueue(policy.QueueLimit, config.Weights)}
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
@@ -81,6 +83,31 @@
 	})
 }
 
+func TestAdmitFromManyCallers(t *testing.T) {
+	is, s := is.New(t), newSite(t, 2, 2)
+	var group errgroup.Group
+	var most, now atomic.Int32
+	for range 8 {
+		group.Go(func() error {
+			for range 200 {
+				slot, err := s.Admit(t.Context(), request("a", eelgrassbeam.RankUrgent), s.in(time.Hour))
+				if err != nil {
+					return err
+				}
+				if n := now.Add(1); n > most.Load() {
+					most.Store(n)
+				}
+				now.Add(-1)
+				slot.Release(Result{Outcome: OutcomeOK, Duration: time.Nanosecond})
+			}
+			return nil
+		})
+	}
+	is.NoErr(group.Wait())
+	is.True(most.Load() <= 4)
+	is.Equal(s.Load().InProgress, 0)
+}
+
 func TestFairness(t *testing.T) {
 	t.Run("a full queue drops the newest of the longest customer", func(t *testing.T) {
 		for _, off := range []bool{false, true} {
--- a/admitter/flood_test.go
+++ b/admitter/flood_test.go
@@ -1,10 +1,12 @@
 package admitter
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
@@ -82,6 +84,24 @@
 			is.Equal(failingShare(s) <= 1.0/3, !off)
 		}
 	})
+	t.Run("a slot held after a failure is used when the hold ends", func(t *testing.T) {
+		is, s := is.New(t), newSite(t, 1, 1)
+		s.service.add(serviceTime)
+		busy, failed := s.submit("a", eelgrassbeam.RankUrgent, time.Hour), s.submit("a", eelgrassbeam.RankUrgent, time.Hour)
+		is.NoErr(busy.err)
+		failed.slot.Release(Result{Outcome: OutcomeFailed})
+		given := make(chan *Slot, 1)
+		s.Submit(request("a", eelgrassbeam.RankUrgent), s.in(time.Hour), func(slot *Slot, _ error) { given <- slot })
+		is.Equal(s.Load().Waiting, 1)
+		var group errgroup.Group
+		ctx, cancel := context.WithCancel(t.Context())
+		group.Go(func() error { return s.Run(ctx) })
+		is.NoErr(s.clock.BlockUntilContext(t.Context(), 1))
+		s.clock.Advance(serviceTime)
+		is.Equal((<-given).Upstream.ID, failed.slot.Upstream.ID)
+		cancel()
+		is.NoErr(group.Wait())
+	})
 	t.Run("one that claims to be full but is fast keeps its work", func(t *testing.T) {
 		is, s := is.New(t), newSite(t, 3, 3)
 		is.Equal(limitAfter(s, func(id eelgrassbeam.UpstreamID) Result {
--- a/admitter/slot.go
+++ b/admitter/slot.go
@@ -57,6 +57,9 @@
 	s.rank.finish(s.byFloor)
 	a.learn(s, result, now)
 	decided := a.dispatch(now, nil)
+	if s.state.heldUntil.After(now) {
+		a.signalHeld()
+	}
 	a.mu.Unlock()
 	a.deliver(decided)
 }
