--- /dev/null
+++ b/measurer/scenario.go
@@ -0,0 +1,114 @@
+package measurer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+const (
+	// fastest is the least time that an upstream takes for a request.
+	fastest = 10 * time.Millisecond
+	// meanService is the mean time that an upstream takes for a request.
+	meanService = 20 * time.Millisecond
+	// warmUp is left out of the counts.
+	warmUp     = 5 * time.Second
+	queueLimit = 256
+)
+
+// Scenario is a load on one site.
+type Scenario struct {
+	Name string
+	// Upstreams and SlotsPerUpstream are the site's size.
+	Upstreams, SlotsPerUpstream int
+	// Demand is the offered work of each rank by the site's capacity.
+	Demand [eelgrassbeam.RankCount]float64
+	Length time.Duration
+	Seed   uint64
+}
+
+// Sites returns the sizes of one zone's site of both users.
+func Sites() []Scenario {
+	return []Scenario{
+		{Name: "booking", Upstreams: 3, SlotsPerUpstream: 3},
+		{Name: "events", Upstreams: 2, SlotsPerUpstream: 3},
+		{Name: "orders", Upstreams: 2, SlotsPerUpstream: 5},
+	}
+}
+
+// WithDemand returns a copy with the demand of each rank.
+func (s Scenario) WithDemand(urgent, standard, background float64) Scenario {
+	s.Demand = [eelgrassbeam.RankCount]float64{urgent, standard, background}
+	return s
+}
+
+// WithLength returns a copy that is measured for the virtual duration, under the seed.
+func (s Scenario) WithLength(length time.Duration, seed uint64) Scenario {
+	s.Length, s.Seed = length, seed
+	return s
+}
+
+func (s Scenario) slots() int { return s.Upstreams * s.SlotsPerUpstream }
+
+// service returns the policy under which all systems run.
+func (s Scenario) service() eelgrassbeam.Service {
+	return eelgrassbeam.Service{
+		Name: eelgrassbeam.ServiceName(s.Name), SlotsPerUpstream: s.SlotsPerUpstream,
+		Ranks: []eelgrassbeam.RankPolicy{
+			{Rank: eelgrassbeam.RankUrgent, Deadline: eelgrassbeam.Milliseconds(500), QueueLimit: queueLimit},
+			{Rank: eelgrassbeam.RankStandard, Floor: 0.2, Deadline: eelgrassbeam.Seconds(2), QueueLimit: queueLimit},
+			{Rank: eelgrassbeam.RankBackground, Floor: 0.1, Deadline: eelgrassbeam.Seconds(10), QueueLimit: queueLimit},
+		},
+	}
+}
+
+// floor returns the rank's floor; the urgent rank counts what the others' floors leave.
+func (s Scenario) floor(rank eelgrassbeam.Rank) float64 {
+	service := s.service()
+	if floor := service.Policy(rank).Floor; floor > 0 {
+		return floor
+	}
+	return 1 - service.Policy(eelgrassbeam.RankStandard).Floor - service.Policy(eelgrassbeam.RankBackground).Floor
+}
+
+// upstreams returns the site's upstreams.
+func (s Scenario) upstreams() []eelgrassbeam.Upstream {
+	upstreams := make([]eelgrassbeam.Upstream, s.Upstreams)
+	for i := range upstreams {
+		upstreams[i] = eelgrassbeam.Upstream{
+			ID: eelgrassbeam.UpstreamID(fmt.Sprint("u", i)), Service: eelgrassbeam.ServiceName(s.Name),
+			State: eelgrassbeam.InstanceLive, Zone: "z0", Region: "r0",
+		}
+	}
+	return upstreams
+}
+
+// generator makes requests with exponential times between them, and service times.
+type generator struct {
+	random *rand.Rand
+	made   int
+}
+
+func newGenerator(seed uint64) *generator {
+	return &generator{random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// next returns a request of the rank; three equal customers ask in the ratio 6 to 3 to 2.
+func (g *generator) next(service eelgrassbeam.ServiceName, rank eelgrassbeam.Rank) eelgrassbeam.Request {
+	g.made++
+	customers := []eelgrassbeam.CustomerID{"a", "a", "a", "a", "a", "a", "b", "b", "b", "c", "c"}
+	return eelgrassbeam.Request{
+		ID: eelgrassbeam.RequestID(fmt.Sprint(g.made)), Service: service, Rank: rank, Attempt: 1,
+		Customer: customers[g.random.IntN(len(customers))],
+	}
+}
+
+func (g *generator) pause(perSecond float64) time.Duration {
+	return time.Duration(g.random.ExpFloat64() / perSecond * float64(time.Second))
+}
+
+func (g *generator) serviceTime() time.Duration {
+	return fastest + time.Duration(g.random.ExpFloat64()*float64(meanService-fastest))
+}
