Measure routing and shifts, and record the decisions' design

Cause: the preference for the own zone and the bounds of a shift need a run, and each decision needs the ways weighed with its measurement. The real router, granter and admitters run in virtual time with the users' delays; a small fake stands in for the wallet, whose own loop needs real time. Baselines are plain rendezvous hashing over a region's sites and a shift without grants. Bounds in the tests are the configured cap and the slow start's part of it.

--- a/measurer/region.go
+++ b/measurer/region.go
@@ -1,6 +1,7 @@
 package measurer
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +11,7 @@
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 	"github.com/eelgrassbeam/eelgrassbeam/router"
+	"github.com/eelgrassbeam/eelgrassbeam/sender"
 )
 
 // RegionScenario is a load on two regions of two zones each, with one origin a zone.
@@ -97,71 +99,83 @@
 	})
 }
 
+// receiver checks shifted requests; granted is how the real one does.
+type receiver interface {
+	// spend tells whether the shifted request may run.
+	spend(request eelgrassbeam.Request) bool
+	// admitted is told once the request has its slot or is refused.
+	admitted(site eelgrassbeam.Site)
+}
+
 // origin is the entry of one zone.
 type origin struct {
 	*region
 	zone    eelgrassbeam.ZoneID
-	chooser eelgrassbeam.Chooser
-	// check tells whether a shifted request may run at the receiver; nil allows all.
-	check   func(site eelgrassbeam.Site, grant uint64) bool
-	observe func(site eelgrassbeam.Site, load eelgrassbeam.SiteLoad)
-	done    func(site eelgrassbeam.Site)
+	chooser sender.Chooser
+	// receiver may be nil where nothing is shifted.
+	receiver receiver
 }
 
 // newOrigin returns an origin that decides with the real router.
-func newOrigin(r *region, zone eelgrassbeam.ZoneID, wallet router.Wallet) *origin {
-	source := rand.New(rand.NewPCG(r.scenario.Site.Seed, xxhash.Sum64String(string(zone))))
-	chooser := router.New(router.Config{
-		Clock: r.engine, Zone: zone, Region: regionOf(zone), Fleet: r, Configuration: r, Wallet: wallet, Random: source.Float64,
-	})
-	return &origin{region: r, zone: zone, chooser: chooser, observe: chooser.Observe, done: chooser.Done}
+func newOrigin(r *region, zone eelgrassbeam.ZoneID, credits router.Credits) *origin {
+	return &origin{region: r, zone: zone, chooser: router.New(router.Config{
+		Self:  eelgrassbeam.Entry{ID: eelgrassbeam.EntryID(zone), Zone: zone, Region: regionOf(zone)},
+		Fleet: r, Configuration: r, Credits: credits,
+		Random: rand.NewPCG(r.scenario.Site.Seed, xxhash.Sum64String(string(zone))),
+	})}
 }
 
 // newHashed returns an origin that spreads requests over its region's sites by rendezvous hashing.
 func newHashed(r *region, zone eelgrassbeam.ZoneID) *origin {
-	return &origin{
-		region: r, zone: zone, chooser: hashed{r, regionOf(zone)},
-		observe: func(eelgrassbeam.Site, eelgrassbeam.SiteLoad) {}, done: func(eelgrassbeam.Site) {},
-	}
+	return &origin{region: r, zone: zone, chooser: hashed{r, regionOf(zone)}}
 }
 
 func (o *origin) send(request eelgrassbeam.Request) {
 	sent, tally := o.now, o.latency[regionOf(o.zone)]
 	deadline := sent.Add(o.scenario.Site.service().Policy(request.Rank).Deadline.Duration)
 	tally.offer(request)
-	decision, err := o.chooser.Choose(request, nil)
+	choice, err := o.chooser.Choose(request, nil, sent)
 	if err != nil {
 		return
 	}
-	delay := o.delay(decision)
+	request = request.WithSite(choice.Site, choice.Grant)
+	request.OriginRegion = regionOf(o.zone)
+	delay := o.delay(choice)
 	o.sent++
 	if delay > 0 {
 		o.crossed++
 	}
-	o.after(delay, func() {
-		back := func(answered bool) {
-			load := o.sites[decision.Site].admitter.Load()
-			o.after(delay, func() {
-				o.done(decision.Site)
-				o.observe(decision.Site, load)
-				if answered {
-					tally.answer(request, o.now.Sub(sent), !o.now.After(deadline))
-				}
-			})
-		}
-		if decision.Reason == eelgrassbeam.ChosenShift && o.check != nil && !o.check(decision.Site, decision.Grant) {
-			back(false)
-			return
-		}
-		o.sites[decision.Site].run(request, deadline, back)
-	})
+	back := func(answered bool) {
+		load := o.sites[choice.Site].admitter.Load()
+		o.after(delay, func() {
+			o.chooser.Observe(choice.Site, load, o.now)
+			if answered {
+				tally.answer(request, o.now.Sub(sent), !o.now.After(deadline))
+			}
+		})
+	}
+	o.after(delay, func() { o.receive(request, deadline, choice.Region != regionOf(o.zone), back) })
+}
+
+// receive runs the request at its site, a shifted one only if the receiver lets it.
+func (o *origin) receive(request eelgrassbeam.Request, deadline time.Time, shifted bool, done func(bool)) {
+	if !shifted {
+		o.sites[request.Site].run(request, deadline, done)
+		return
+	}
+	if !o.receiver.spend(request) {
+		done(false)
+		return
+	}
+	o.sites[request.Site].run(request, deadline, done)
+	o.receiver.admitted(request.Site)
 }
 
-func (o *origin) delay(decision eelgrassbeam.Decision) time.Duration {
+func (o *origin) delay(choice sender.Choice) time.Duration {
 	switch {
-	case decision.Region != regionOf(o.zone):
+	case choice.Region != regionOf(o.zone):
 		return o.scenario.RegionDelay
-	case decision.Site.Zone != o.zone:
+	case choice.Site.Zone != o.zone:
 		return o.scenario.ZoneDelay
 	default:
 		return 0
@@ -174,20 +188,20 @@
 	id     eelgrassbeam.RegionID
 }
 
-// Choose implements eelgrassbeam.Chooser.
-func (h hashed) Choose(request eelgrassbeam.Request, _ []eelgrassbeam.Site) (eelgrassbeam.Decision, error) {
+// Choose implements sender.Chooser.
+func (h hashed) Choose(request eelgrassbeam.Request, _ []eelgrassbeam.Site, _ time.Time) (sender.Choice, error) {
 	sites := slices.DeleteFunc(h.region.fleet.ServiceSites(request.Service), func(s eelgrassbeam.LocatedSite) bool {
 		return s.Region != h.id
 	})
 	best := slices.MaxFunc(sites, func(a, b eelgrassbeam.LocatedSite) int {
-		if score(request.ID, a.Zone) < score(request.ID, b.Zone) {
-			return -1
-		}
-		return 1
+		return cmp.Compare(score(request.ID, a.Zone), score(request.ID, b.Zone))
 	})
-	return eelgrassbeam.Decision{Site: best.Site, Region: best.Region, Reason: eelgrassbeam.ChosenRegion}, nil
+	return sender.Choice{Site: best.Site, Region: best.Region}, nil
 }
 
+// Observe implements sender.Chooser.
+func (hashed) Observe(eelgrassbeam.Site, eelgrassbeam.SiteLoad, time.Time) {}
+
 func score(id eelgrassbeam.RequestID, zone eelgrassbeam.ZoneID) uint64 {
 	return xxhash.Sum64String(string(id) + "@" + string(zone))
 }
@@ -196,7 +210,7 @@
 func MeasureRegion(s RegionScenario, hashed bool) (report Report, crossed float64) {
 	r := newRegion(s)
 	for i, zone := range zones()[:2] {
-		from := newOrigin(r, zone, noCredit{})
+		from := newOrigin(r, zone, nil)
 		if hashed {
 			from = newHashed(r, zone)
 		}
@@ -225,9 +239,3 @@
 	}
 	return most
 }
-
-// noCredit is a wallet without credits.
-type noCredit struct{}
-
-// Spend implements router.Wallet.
-func (noCredit) Spend(eelgrassbeam.Site, eelgrassbeam.Rank) (uint64, bool) { return 0, false }
--- a/measurer/shift.go
+++ b/measurer/shift.go
@@ -1,6 +1,7 @@
 package measurer
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -10,8 +11,8 @@
 )
 
 const (
-	// askInterval is the time between a sender's asks for the same site.
-	askInterval = granter.DefaultAskInterval
+	// viewInterval is the time between a granter's looks at its view.
+	viewInterval = 100 * time.Millisecond
 	// capWindow is the time over which shifted requests are counted.
 	capWindow = time.Second
 	// early is the part of the slow start that counts as its beginning.
@@ -33,7 +34,8 @@
 // shift counts the shifted requests that begin at the second region.
 type shift struct {
 	*region
-	registry *granter.Registry
+	// granters hold the real granter of each dispatcher; one dispatches for its zone's site.
+	granters map[eelgrassbeam.ZoneID]*granter.Granter
 	// began holds the starts within the last window.
 	began  []time.Time
 	first  time.Time
@@ -42,20 +44,19 @@
 
 // MeasureShift runs both regions; without grants a full region shifts what it likes.
 func MeasureShift(s RegionScenario, granted bool) ShiftReport {
-	sh := &shift{region: newRegion(s), registry: granter.NewRegistry()}
-	for _, located := range sh.fleet.ServiceSites(eelgrassbeam.ServiceName(s.Site.Name)) {
-		sh.addGranter(located)
+	sh := &shift{region: newRegion(s), granters: make(map[eelgrassbeam.ZoneID]*granter.Granter)}
+	for _, zone := range zones() {
+		sh.addGranter(zone)
 	}
+	sh.runFor(granter.Settle)
 	scales := []float64{s.ZoneLoad[0], s.ZoneLoad[1], s.RemoteLoad, s.RemoteLoad}
 	for i, zone := range zones() {
-		wallet := granter.NewWallet(granter.WalletConfig{Clock: sh.engine})
-		var spend router.Wallet = always{}
+		var held router.Credits = endless{}
 		if granted {
-			spend = wallet
-			sh.every(askInterval, func() { sh.ask(zone, wallet) })
+			held = newCredits(sh, zone)
 		}
-		from := newOrigin(sh.region, zone, spend)
-		from.check = func(site eelgrassbeam.Site, grant uint64) bool { return sh.arrive(site, grant, granted) }
+		from := newOrigin(sh.region, zone, held)
+		from.receiver = checked{shift: sh, granted: granted}
 		sh.load(zone, scales[i], uint64(100+i), from)
 	}
 	sh.run()
@@ -65,34 +66,61 @@
 	return sh.report
 }
 
-func (sh *shift) addGranter(located eelgrassbeam.LocatedSite) {
-	g := granter.New(granter.Config{Site: located.Site, Clock: sh.engine, Load: sh.sites[located.Site].admitter.Load})
-	g.SetLimits(granter.LimitsOf(sh.fleet, sh.config, located, sh.now))
-	sh.registry.Put(g)
+// addGranter adds the zone's dispatcher, which looks at its view at each interval.
+func (sh *shift) addGranter(zone eelgrassbeam.ZoneID) {
+	d := dispatcher{sh.region, zone, sh.now}
+	g := granter.New(granter.Config{
+		Self:        eelgrassbeam.Entry{ID: eelgrassbeam.EntryID(zone), Zone: zone, Region: regionOf(zone)},
+		Incarnation: uint64(len(sh.granters)+1) << idBits, Clock: sh.engine, Fleet: sh.region, Configuration: sh.region, Tenures: d, Loads: d,
+	})
+	sh.granters[zone] = g
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	// An ended context lets Run look at the view once and return.
+	sh.every(viewInterval, func() { _ = g.Run(ended) })
 }
 
-// ask sends an ask for each wanted site and brings back the answer, each after the delay between regions.
-func (sh *shift) ask(zone eelgrassbeam.ZoneID, wallet *granter.Wallet) {
-	wanted := wallet.TakeWants()
-	for _, located := range sh.fleet.ServiceSites(eelgrassbeam.ServiceName(sh.scenario.Site.Name)) {
-		missing := wanted[located.Site] - wallet.Balance(located.Site)
-		if missing <= 0 {
-			continue
-		}
-		asked := sh.now
-		g, _ := sh.registry.Granter(located.Site)
-		sh.after(sh.scenario.RegionDelay, func() {
-			answer := g.Grant(granter.Ask{Site: located.Site, From: eelgrassbeam.EntryID(zone), Want: missing})
-			sh.after(sh.scenario.RegionDelay, func() { wallet.Add(answer.Grant, asked) })
-		})
+// idBits keeps the grant ids of dispatchers apart.
+const idBits = 32
+
+// dispatcher dispatches for the site of its zone since the given time.
+type dispatcher struct {
+	*region
+	zone  eelgrassbeam.ZoneID
+	since time.Time
+}
+
+// MayDispatch implements granter.Tenures.
+func (d dispatcher) MayDispatch(_ *eelgrassbeam.Fleet, site eelgrassbeam.Site, _ time.Time) (time.Time, bool) {
+	return d.since, site.Zone == d.zone
+}
+
+// SiteLoad implements granter.Loads.
+func (d dispatcher) SiteLoad(site eelgrassbeam.Site) (eelgrassbeam.SiteLoad, bool) {
+	s, ok := d.sites[site]
+	if !ok || site.Zone != d.zone {
+		return eelgrassbeam.SiteLoad{}, false
 	}
+	return s.admitter.Load(), true
+}
+
+// checked is the receiver of shifted requests; without grants it lets all run.
+type checked struct {
+	*shift
+	granted bool
 }
 
-// arrive checks a shifted request and counts the accepted ones by second.
-func (sh *shift) arrive(site eelgrassbeam.Site, grant uint64, granted bool) bool {
-	if granted && sh.registry.Arrive(site, grant) != nil {
+func (c checked) spend(request eelgrassbeam.Request) bool {
+	if c.granted && !c.granters[request.Site.Zone].Spend(request, c.now) {
 		return false
 	}
+	c.count()
+	return true
+}
+
+func (c checked) admitted(site eelgrassbeam.Site) { c.granters[site.Zone].Admitted(site) }
+
+func (sh *shift) count() {
 	if sh.first.IsZero() {
 		sh.first = sh.now
 	}
@@ -105,11 +133,4 @@
 	if sh.now.Sub(sh.first) < sh.scenario.SlowStart/early {
 		sh.report.MostPerSecondEarly = max(sh.report.MostPerSecondEarly, len(sh.began))
 	}
-	return true
 }
-
-// always is a wallet that never runs out.
-type always struct{}
-
-// Spend implements router.Wallet.
-func (always) Spend(eelgrassbeam.Site, eelgrassbeam.Rank) (uint64, bool) { return 0, true }
