Take a credit by rank in the measurer

Cause: the wallet shares credits by rank now, and the measurer's own did not build against it. Before: no build. After: go test ./measurer passes. Conclusion: the measurer's credits know no rank, since its shift runs one rank a phase.

--- a/measurer/credits.go
+++ b/measurer/credits.go
@@ -43,7 +43,7 @@
 }
 
 // Take implements router.Credits.
-func (c *credits) Take(site eelgrassbeam.Site, now time.Time) (uint64, bool) {
+func (c *credits) Take(site eelgrassbeam.Site, _ eelgrassbeam.Rank, now time.Time) (uint64, bool) {
 	c.wanted[site]++
 	held := c.held[site]
 	for len(held) > 0 && (held[0].left == 0 || !now.Before(held[0].expires)) {
@@ -82,4 +82,4 @@
 type endless struct{}
 
 // Take implements router.Credits.
-func (endless) Take(eelgrassbeam.Site, time.Time) (uint64, bool) { return 0, true }
+func (endless) Take(eelgrassbeam.Site, eelgrassbeam.Rank, time.Time) (uint64, bool) { return 0, true }
