Serve operators over TLS where certificates are set

Cause: the operators' listener had its TLS settings but took plain text all the same. Ruled out: the settings themselves; package securer's own tests pass. Before: TestDaemonListeners fails at the first operator's call with 'server gave HTTP response to HTTPS client'. After: it passes, with a wrong certificate and plain text refused by both listeners, and plain text taken without certificates. Conclusion: the listener is not open to callers once certificates are set.

--- a/securer/authority_test.go
+++ b/securer/authority_test.go
@@ -15,27 +15,28 @@
 	"time"
 )
 
-// authority signs certificates for tests.
-type authority struct {
+// Authority signs certificates for tests.
+type Authority struct {
 	key  *ecdsa.PrivateKey
 	cert *x509.Certificate
 	file string
 }
 
-func newAuthority(t *testing.T, name string) authority {
+// NewAuthority returns an authority of the name.
+func NewAuthority(t *testing.T, name string) Authority {
 	t.Helper()
 	key := newKey(t)
 	template := newTemplate(name)
 	template.IsCA, template.BasicConstraintsValid = true, true
 	template.KeyUsage = x509.KeyUsageCertSign
 	der := must(x509.CreateCertificate(rand.Reader, template, template, key.Public(), key))(t)
-	a := authority{key: key, cert: must(x509.ParseCertificate(der))(t)}
+	a := Authority{key: key, cert: must(x509.ParseCertificate(der))(t)}
 	a.file = writePEM(t, name+"-ca.pem", "CERTIFICATE", der)
 	return a
 }
 
-// issue returns files of a certificate for loopback that names the CA trusted for the other side.
-func (a authority) issue(t *testing.T, name string, trusted authority) Config {
+// Issue returns files of a certificate for loopback that names the CA trusted for the other side.
+func (a Authority) Issue(t *testing.T, name string, trusted Authority) Config {
 	t.Helper()
 	key := newKey(t)
 	template := newTemplate(name)
--- a/securer/securer_test.go
+++ b/securer/securer_test.go
@@ -47,39 +47,39 @@
 }
 
 func TestHTTP(t *testing.T) {
-	ours, other := newAuthority(t, "ours"), newAuthority(t, "other")
-	server := serveHTTPS(t, newSecurer(t, ours.issue(t, "server", ours)).ServerTLS())
+	ours, other := NewAuthority(t, "ours"), NewAuthority(t, "other")
+	server := serveHTTPS(t, newSecurer(t, ours.Issue(t, "server", ours)).ServerTLS())
 
 	t.Run("accepts a certificate of the same authority", func(t *testing.T) {
 		is := is.New(t)
-		is.NoErr(get(server, newSecurer(t, ours.issue(t, "client", ours)).ClientTLS()))
+		is.NoErr(get(server, newSecurer(t, ours.Issue(t, "client", ours)).ClientTLS()))
 	})
 	t.Run("refuses a client certificate of another authority", func(t *testing.T) {
 		is := is.New(t)
-		is.True(get(server, newSecurer(t, other.issue(t, "client", ours)).ClientTLS()) != nil)
+		is.True(get(server, newSecurer(t, other.Issue(t, "client", ours)).ClientTLS()) != nil)
 	})
 	t.Run("refuses a client without a certificate", func(t *testing.T) {
 		is := is.New(t)
-		settings := newSecurer(t, ours.issue(t, "client", ours)).ClientTLS()
+		settings := newSecurer(t, ours.Issue(t, "client", ours)).ClientTLS()
 		settings.Certificates = nil
 		is.True(get(server, settings) != nil)
 	})
 	t.Run("client refuses a server of another authority", func(t *testing.T) {
 		is := is.New(t)
-		is.True(get(server, newSecurer(t, ours.issue(t, "client", other)).ClientTLS()) != nil)
+		is.True(get(server, newSecurer(t, ours.Issue(t, "client", other)).ClientTLS()) != nil)
 	})
 	t.Run("refuses TLS 1.2", func(t *testing.T) {
 		is := is.New(t)
-		settings := newSecurer(t, ours.issue(t, "client", ours)).ClientTLS()
+		settings := newSecurer(t, ours.Issue(t, "client", ours)).ClientTLS()
 		settings.MinVersion, settings.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
 		is.True(get(server, settings) != nil)
 	})
 }
 
 func TestGRPC(t *testing.T) {
-	ours, other := newAuthority(t, "ours"), newAuthority(t, "other")
+	ours, other := NewAuthority(t, "ours"), NewAuthority(t, "other")
 	listener := must(net.Listen("tcp", "127.0.0.1:0"))(t)
-	server := grpc.NewServer(grpc.Creds(newSecurer(t, ours.issue(t, "server", ours)).ServerCredentials()))
+	server := grpc.NewServer(grpc.Creds(newSecurer(t, ours.Issue(t, "server", ours)).ServerCredentials()))
 	grpc_health_v1.RegisterHealthServer(server, health.NewServer())
 	var group errgroup.Group
 	group.Go(func() error { return server.Serve(listener) })
@@ -93,16 +93,16 @@
 	}
 	t.Run("accepts a certificate of the same authority", func(t *testing.T) {
 		is := is.New(t)
-		is.NoErr(check(t, newSecurer(t, ours.issue(t, "client", ours))))
+		is.NoErr(check(t, newSecurer(t, ours.Issue(t, "client", ours))))
 	})
 	t.Run("refuses a certificate of another authority", func(t *testing.T) {
 		is := is.New(t)
-		is.True(check(t, newSecurer(t, other.issue(t, "client", ours))) != nil)
+		is.True(check(t, newSecurer(t, other.Issue(t, "client", ours))) != nil)
 	})
 }
 
 func TestNew(t *testing.T) {
-	ours := newAuthority(t, "ours")
+	ours := NewAuthority(t, "ours")
 	t.Run("wants all files together", func(t *testing.T) {
 		is := is.New(t)
 		_, err := New(Config{CertFile: "a"})
@@ -110,7 +110,7 @@
 	})
 	t.Run("refuses a CA file without a certificate", func(t *testing.T) {
 		is := is.New(t)
-		config := ours.issue(t, "client", ours)
+		config := ours.Issue(t, "client", ours)
 		config.CAFile = config.KeyFile
 		_, err := New(config)
 		is.True(errors.Is(err, ErrMaterial))
--- a/steerer/run.go
+++ b/steerer/run.go
@@ -26,7 +26,7 @@
 		group.Go(func() error { return part.Run(ctx) })
 	}
 	group.Go(func() error { return served(s.callers.Serve(s.listeners.caller)) })
-	group.Go(func() error { return served(s.operators.Serve(s.listeners.operator)) })
+	group.Go(func() error { return served(s.serveOperators()) })
 	group.Go(func() error { return s.peers.Serve(s.listeners.peer) })
 	group.Go(func() error {
 		defer cancel()
@@ -49,6 +49,13 @@
 	}
 }
 
+func (s *Steerer) serveOperators() error {
+	if s.operators.TLSConfig == nil {
+		return s.operators.Serve(s.listeners.operator)
+	}
+	return s.operators.ServeTLS(s.listeners.operator, "", "")
+}
+
 func served(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
