--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -82,7 +82,7 @@
 	reply := d.forward(ctx, request)
 	reply.Dispatcher = d.config.Self.ID
 	if s, ok := d.site(request.Site); ok {
-		reply = reply.WithLoad(s.load())
+		reply = reply.WithLoad(s.queue.Load())
 	}
 	return reply, nil
 }
@@ -141,7 +141,7 @@
 func (d *Dispatcher) queue(
 	ctx context.Context, request eelgrassbeam.Request, s *site, deadline time.Time, admitted func(),
 ) eelgrassbeam.Reply {
-	slot, err := s.admit(ctx, request, deadline)
+	slot, err := s.queue.Admit(ctx, request, deadline)
 	admitted()
 	if err != nil {
 		return d.refuse(request, err)
--- a/dispatcher/site.go
+++ b/dispatcher/site.go
@@ -29,25 +29,6 @@
 	ejector *ejector.Ejector
 	ramper  *ramper.Ramper[eelgrassbeam.UpstreamID]
 	service eelgrassbeam.Service
-	// waiting counts the requests of each rank that wait for a slot.
-	waiting [eelgrassbeam.RankCount]atomic.Int64
-}
-
-// load returns the queue's load with the waiting requests of each rank.
-func (s *site) load() eelgrassbeam.SiteLoad {
-	load := s.queue.Load()
-	for i := range s.waiting {
-		load.RankWaiting[i] = int(s.waiting[i].Load())
-	}
-	return load
-}
-
-// admit waits for a slot.
-func (s *site) admit(ctx context.Context, request eelgrassbeam.Request, deadline time.Time) (*admitter.Slot, error) {
-	waiting := &s.waiting[request.Rank.Index()]
-	waiting.Add(1)
-	defer waiting.Add(-1)
-	return s.queue.Admit(ctx, request, deadline)
 }
 
 // Run keeps the sites in step with the fleet, the configuration and the roles until the context ends; then it
@@ -207,7 +188,7 @@
 	if !ok {
 		return eelgrassbeam.SiteLoad{}, false
 	}
-	return s.load(), true
+	return s.queue.Load(), true
 }
 
 // SiteInProgress counts the exchanges with the site's upstreams, from the last check of the role to their end.
