Leave free slots to higher ranks while lower work takes long

Cause: a flood of background requests that take five times as long held all slots, and each urgent request waited for the end of a long one. Now a rank whose requests take at least twice as long as those of a higher rank leaves free slots to it, beyond its own floor: the deviation of the slots that higher ranks hold. Ruled out: a fixed reserve, which idles slots while no higher work comes. Free slots are now counted by upstream, so that work that still runs at a removed upstream takes none from others. Conclusion: go test -race ./admitter passes; without the guard its test fails.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -46,7 +46,7 @@
 
 // guards hold the off switches of the rules that tests prove.
 type guards struct {
-	noFloors, noFairness, noEarlyRefusal, noFailureHold bool
+	noFloors, noFairness, noEarlyRefusal, noFailureHold, noReserve bool
 }
 
 // Ticket is a request that was submitted.
--- a/admitter/flood_test.go
+++ b/admitter/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,6 +69,34 @@
 	})
 }
 
+func TestReserve(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		t.Run(fmt.Sprintf("off=%t", off), func(t *testing.T) {
+			is, s := is.New(t), newSite(t, 3, 3)
+			s.guards.noReserve = off
+			urgent, background := s.ranks[0], s.ranks[eelgrassbeam.RankBackground.Index()]
+			urgent.service.add(serviceTime)
+			background.service.add(10 * serviceTime)
+			background.higherShare = 0.2
+			for range 6 {
+				s.submit("a", eelgrassbeam.RankBackground, time.Hour)
+			}
+			got := s.submit("a", eelgrassbeam.RankUrgent, time.Hour)
+			is.Equal(got.slot != nil, !off)
+			is.True(s.Load().InProgress >= 3)
+		})
+	}
+	t.Run("work that runs at a removed upstream takes no slot from others", func(t *testing.T) {
+		is, s := is.New(t), newSite(t, 3)
+		for range 3 {
+			is.NoErr(s.submit("a", eelgrassbeam.RankUrgent, time.Hour).err)
+		}
+		set := upstreams(3, 1)
+		s.SetUpstreams(set[1:])
+		is.True(s.submit("a", eelgrassbeam.RankBackground, time.Hour).slot != nil)
+	})
+}
+
 func checkFloors(is *is.I, used map[eelgrassbeam.Rank]time.Duration, slots int, kept bool) {
 	is.Helper()
 	whole := float64(slots) * floodTime.Seconds()
--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -12,6 +12,14 @@
 	creditWindow = 2 * time.Second
 	// shareWindow is the time constant of the slot share of higher ranks.
 	shareWindow = 500 * time.Millisecond
+	// longFactor is how much longer than those of a higher rank requests must take to leave it slots.
+	longFactor = 2
+	// leastBusy is the mean number of slots that higher ranks must hold to be left some.
+	leastBusy = 0.1
+	// reserveDivisor bounds the slots left to higher ranks as a part of all.
+	reserveDivisor = 2
+	// reserveMargin is added to the deviation of the slots that higher ranks hold, in slots.
+	reserveMargin = 0.5
 )
 
 // rankState is the queue of one rank and what the rank has had of the slots.
@@ -67,19 +75,42 @@
 
 // nextRank returns the rank whose request starts next, and whether its floor put it ahead of a higher rank.
 func (a *Admitter) nextRank() (next *rankState, byFloor bool) {
-	slots := float64(a.upstreams.slots())
+	slots, free := a.upstreams.slots(), a.upstreams.free()
+	isHighest := true
 	for _, rank := range a.ranks {
 		if rank.queue.length == 0 {
 			continue
 		}
-		if next == nil {
+		if isHighest && free > a.reserve(rank, slots) {
 			next = rank
+		}
+		isHighest = false
+		if rank == next || a.guards.noFloors || !rank.isOwedSlot(float64(slots)) {
 			continue
 		}
-		owed := !a.guards.noFloors && rank.isOwedSlot(slots)
-		if owed && (!byFloor || rank.credit > next.credit) {
+		if !byFloor || rank.credit > next.credit {
 			next, byFloor = rank, true
 		}
 	}
 	return next, byFloor
 }
+
+// reserve returns the free slots that the rank leaves to higher ranks while its
+// requests take much longer than theirs, so that these need not wait for the end
+// of a long one. It is the deviation of a Poisson number of busy slots.
+func (a *Admitter) reserve(rank *rankState, slots int) int {
+	var shortest time.Duration
+	for _, higher := range a.ranks[:rank.rank.Index()] {
+		if mean := higher.service.value; mean > 0 && (shortest == 0 || mean < shortest) {
+			shortest = mean
+		}
+	}
+	if a.guards.noReserve || shortest == 0 || rank.service.value < longFactor*shortest {
+		return 0
+	}
+	busy := rank.higherShare * float64(slots)
+	if busy < leastBusy {
+		return 0
+	}
+	return min(int(math.Ceil(math.Sqrt(busy)+reserveMargin)), slots/reserveDivisor)
+}
--- a/admitter/upstream.go
+++ b/admitter/upstream.go
@@ -91,6 +91,15 @@
 	return total
 }
 
+// free returns the slots that new work may take; running work beyond an upstream's bound takes none from others.
+func (s *upstreamSet) free() int {
+	total := 0
+	for _, u := range s.states {
+		total += max(0, u.bound()-u.inProgress)
+	}
+	return total
+}
+
 func (s *upstreamSet) inProgress() int {
 	total := 0
 	for _, u := range s.states {
