Measure floods of long background work

Cause: all ranks had the same service times in the runs, which hid that urgent work waits for the end of long requests. The bounds are the targets, unchanged. Kept now divides by the work that was offered in the run in place of its nominal rate: the number of arrivals scatters by some percent, and a rank that asks for less than its floor cannot keep more. A shortfall of work that was offered shows as before.

--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -47,6 +47,25 @@
 	}
 }
 
+func TestSiteUnderHeavyBackground(t *testing.T) {
+	for _, site := range Sites() {
+		t.Run(site.Name, func(t *testing.T) {
+			is, table := is.New(t), newTable(t)
+			site = site.WithLength(length, seed).WithBackgroundWork(5)
+			calm := MeasureSite(site.WithDemand(0.3, 0.2, 0.2), SystemAdmitter)
+			flooded := MeasureSite(site.WithDemand(0.3, 0.2, flood), SystemAdmitter)
+			urgent := MeasureSite(site.WithDemand(flood, 0.3, 0.2), SystemAdmitter)
+			table.add("calm", calm)
+			table.add("background flood", flooded)
+			table.add("urgent flood", urgent)
+			table.print()
+			checkUrgent(is, calm, flooded)
+			checkOthers(is, flooded, eelgrassbeam.RankBackground)
+			checkOthers(is, urgent, eelgrassbeam.RankUrgent)
+		})
+	}
+}
+
 func checkUrgent(is *is.I, calm, flooded Report) {
 	is.Helper()
 	before, after := calm.Rank(eelgrassbeam.RankUrgent).P99, flooded.Rank(eelgrassbeam.RankUrgent).P99
--- a/measurer/region.go
+++ b/measurer/region.go
@@ -70,7 +70,7 @@
 	name := eelgrassbeam.Site{Service: eelgrassbeam.ServiceName(size.Name), Zone: zone}
 	s := &site{
 		engine: r.engine, generator: newGenerator(size.Seed + seed), tally: newTally(),
-		progress: make(map[eelgrassbeam.UpstreamID]int), slots: size.SlotsPerUpstream,
+		progress: make(map[eelgrassbeam.UpstreamID]int), slots: size.SlotsPerUpstream, scenario: size,
 	}
 	r.sites[name] = newAdmitted(s, size)
 	for _, upstream := range size.upstreams() {
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -25,8 +25,10 @@
 	Upstreams, SlotsPerUpstream int
 	// Demand is the offered work of each rank by the site's capacity.
 	Demand [eelgrassbeam.RankCount]float64
-	Length time.Duration
-	Seed   uint64
+	// BackgroundWork scales the time that background requests take; 1 where zero.
+	BackgroundWork float64
+	Length         time.Duration
+	Seed           uint64
 }
 
 // Sites returns the sizes of one zone's site of both users.
@@ -44,6 +46,20 @@
 	return s
 }
 
+// WithBackgroundWork returns a copy whose background requests take longer by the factor.
+func (s Scenario) WithBackgroundWork(factor float64) Scenario {
+	s.BackgroundWork = factor
+	return s
+}
+
+// work returns the factor of the rank's time at an upstream.
+func (s Scenario) work(rank eelgrassbeam.Rank) float64 {
+	if rank == eelgrassbeam.RankBackground && s.BackgroundWork > 0 {
+		return s.BackgroundWork
+	}
+	return 1
+}
+
 // WithLength returns a copy that is measured for the virtual duration, under the seed.
 func (s Scenario) WithLength(length time.Duration, seed uint64) Scenario {
 	s.Length, s.Seed = length, seed
--- a/measurer/tally.go
+++ b/measurer/tally.go
@@ -24,7 +24,7 @@
 	P50, P99 time.Duration
 	// SlotShare is the share of the slot time that the rank has had.
 	SlotShare float64
-	// Kept is SlotShare by the lesser of the rank's floor and demand; 1 or more where the floor held.
+	// Kept is SlotShare by the lesser of the rank's floor and its offered work; 1 or more where the floor held.
 	Kept float64
 	// Fairness is Jain's index of the answers to equal customers.
 	Fairness float64
@@ -85,11 +85,12 @@
 	for i, rank := range eelgrassbeam.Ranks() {
 		r := t.ranks[i]
 		share := r.slotTime.Seconds() / whole
+		demand := float64(r.offered) * s.work(rank) * meanService.Seconds() / whole
 		report.Ranks[i] = RankReport{
 			Rank: rank, Offered: r.offered, InTime: float64(r.inTime) / float64(max(1, r.offered)),
 			P50:       time.Duration(r.latencies.ValueAtQuantile(50)) * time.Microsecond,
 			P99:       time.Duration(r.latencies.ValueAtQuantile(99)) * time.Microsecond,
-			SlotShare: share, Kept: share / min(s.floor(rank), s.Demand[i]), Fairness: r.fairness(),
+			SlotShare: share, Kept: share / min(s.floor(rank), demand), Fairness: r.fairness(),
 		}
 	}
 	return report
