Read ahead only where no other home writes

Cause: under the load of the demonstration the read ahead of a bucket's changes mostly returned another home's write, and a second read had to follow; together they reached the bound on a process's calls to the platform. Now it is left out after a write that waited for the write rate, and for ten seconds after it was of no use.

--- a/keeper/committer.go
+++ b/keeper/committer.go
@@ -34,14 +34,15 @@
 
 // committer writes one bucket's claims, those that arrive together as one object.
 type committer struct {
-	keeper   *Keeper
-	bucket   int
-	in       chan pending
-	limiter  *rate.Limiter // of writes
-	view     *view
-	slots    []slot // in order of time
-	sequence uint64
-	again    []pending // claims that could not be made yet
+	keeper    *Keeper
+	bucket    int
+	in        chan pending
+	limiter   *rate.Limiter // of writes
+	view      *view
+	slots     []slot // in order of time
+	sequence  uint64
+	saturated bool      // the last commit waited for the write rate
+	again     []pending // claims that could not be made yet
 }
 
 func (c *committer) run(ctx context.Context) error {
@@ -70,7 +71,9 @@
 func (c *committer) gather(ctx context.Context, first pending) []pending {
 	batch := []pending{first}
 	now := c.keeper.config.Clock.Now()
-	wait := max(gatherTime, c.limiter.ReserveN(now, 1).DelayFrom(now))
+	turn := c.limiter.ReserveN(now, 1).DelayFrom(now)
+	c.saturated = turn > 0
+	wait := max(gatherTime, turn)
 	full := c.keeper.config.Clock.After(wait)
 	for len(batch) < maxBatch {
 		select {
@@ -94,9 +97,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	takeChanges := c.view.ahead(ctx)
+	takeChanges := func(eelgrassbeam.Object, bool) {}
+	if !c.saturated {
+		takeChanges = c.view.ahead(ctx)
+	}
 	object, err := c.write(ctx, batch)
-	takeChanges(err == nil)
+	takeChanges(object, err == nil)
 	if err == nil {
 		err = c.settle(ctx, object)
 	}
--- a/keeper/view.go
+++ b/keeper/view.go
@@ -15,6 +15,7 @@
 	// eventsTimeout bounds a read of changes, so that time is left to read all claims.
 	eventsTimeout = time.Second
 	distrustTime  = 10 * time.Second
+	contendedTime = 10 * time.Second
 	// aheadWait bounds the wait for the own object to show, aheadGrace what of it follows the write.
 	aheadWait  = 500 * time.Millisecond
 	aheadGrace = 10 * time.Millisecond
@@ -45,11 +46,13 @@
 
 	// distrusted is until when changes are not asked for, since the last answer was of no use.
 	distrusted time.Time
-	complete   bool
-	revision   uint64
-	objects    map[string]*seen
-	opaque     map[string]*seen
-	claims     map[uint64][]foreign
+	// contended is until when the next change is not asked for ahead, since other homes write, too.
+	contended time.Time
+	complete  bool
+	revision  uint64
+	objects   map[string]*seen
+	opaque    map[string]*seen
+	claims    map[uint64][]foreign
 }
 
 // catchUp reads until the own object shows; then all claims before it are known.
@@ -75,9 +78,9 @@
 // ahead asks for the next change while the own object is being written. The
 // returned function takes it in once the write has ended; it saves a round trip
 // to the platform where the next change is the own object.
-func (v *view) ahead(ctx context.Context) func(written bool) {
-	if !v.complete || v.clock.Now().Before(v.distrusted) {
-		return func(bool) {}
+func (v *view) ahead(ctx context.Context) func(own eelgrassbeam.Object, written bool) {
+	if now := v.clock.Now(); !v.complete || now.Before(v.distrusted) || now.Before(v.contended) {
+		return func(eelgrassbeam.Object, bool) {}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	var events eelgrassbeam.ObjectEvents
@@ -89,7 +92,7 @@
 		events, err = v.store.Watch(ctx, v.kind, after, aheadWait)
 		return err
 	})
-	return func(written bool) {
+	return func(own eelgrassbeam.Object, written bool) {
 		if written {
 			select {
 			case <-done:
@@ -100,6 +103,9 @@
 		if group.Wait() == nil {
 			v.take(events)
 		}
+		if written && !v.shows(own) {
+			v.contended = v.clock.Now().Add(contendedTime)
+		}
 	}
 }
 
