Fill look-up answers from further regions and wait for keys on a stop

Cause: an answer named at most two regions, so a fleet of one entry a region gave two of three entries; a planned stop did not count requests at their keys' homes; net/http logged lines that are no pairs. Ruled out: a smaller answer for such fleets; the setting promises as many as the fleet has. Before: TestLookup fails with 2 of 3 entries. After: go test ./caller ./placer passes.

--- a/cmd/eelgrassbeamd/main.go
+++ b/cmd/eelgrassbeamd/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -79,5 +80,8 @@
 	if parsed, err := logrus.ParseLevel(level); err == nil {
 		log.SetLevel(parsed)
 	}
+	// Libraries that log by themselves, such as net/http, keep to one line of pairs, too.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.WithField("event", "library").WriterLevel(logrus.WarnLevel))
 	return log
 }
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -26,7 +26,7 @@
 
 // pick returns up to want entries of the region in the block's order: the first
 // choice, the best of each other zone, then the rest. Where the region has too
-// few, and at the end of a long answer, an entry of another region follows.
+// few, and at the end of a long answer, entries of other regions follow.
 func (t *table) pick(region *regionTable, block uint64, want int) []eelgrassbeam.Entry {
 	want = min(max(want, 1), maxPicks)
 	picked := make([]eelgrassbeam.Entry, 0, want)
@@ -39,6 +39,14 @@
 	if other != nil {
 		picked = other.pick(picked, block, want-len(picked))
 	}
+	for _, further := range t.regions {
+		if len(picked) == want {
+			break
+		}
+		if further != region && further != other {
+			picked = further.pick(picked, block, want-len(picked))
+		}
+	}
 	return picked
 }
 
--- a/steerer/build.go
+++ b/steerer/build.go
@@ -103,7 +103,7 @@
 	})
 	s.assigner = assigner.New(assigner.Config{
 		Self: s.self, Fleet: s.monitor, Terms: s.monitor, Pool: s.control, Clock: s.config.Clock,
-		InProgress: s.inProgress, Log: s.config.Log, Registerer: s.registry,
+		InProgress: s.siteInProgress, Log: s.config.Log, Registerer: s.registry,
 	})
 	return nil
 }
@@ -164,8 +164,10 @@
 	return s.keys.Route(ctx, request)
 }
 
-// inProgress counts the site's exchanges at this entry's dispatcher, which is built after the assigner.
-func (s *Steerer) inProgress(site eelgrassbeam.Site) int { return s.dispatcher.SiteInProgress(site) }
+// siteInProgress counts the site's exchanges at this entry's dispatcher, which is built after the assigner.
+func (s *Steerer) siteInProgress(site eelgrassbeam.Site) int {
+	return s.dispatcher.SiteInProgress(site)
+}
 
 // observeLoad tells the router, which is built after the wallet, a site's load.
 func (s *Steerer) observeLoad(site eelgrassbeam.Site, load eelgrassbeam.SiteLoad, now time.Time) {
--- a/steerer/run.go
+++ b/steerer/run.go
@@ -105,21 +105,23 @@
 	}
 }
 
-// finish waits until no request is in progress at this entry's dispatcher.
+// finish waits until no request is in progress at this entry's dispatcher or as the home of its key.
 func (s *Steerer) finish(ctx context.Context) {
-	for s.dispatcher.InProgress() > 0 && ctx.Err() == nil {
+	for s.inProgress() > 0 && ctx.Err() == nil {
 		s.pause(ctx, stopPoll)
 	}
 }
 
+func (s *Steerer) inProgress() int { return s.dispatcher.InProgress() + s.keys.InProgress() }
+
 func (s *Steerer) reportStop(begin time.Time, err error) error {
-	cut := s.dispatcher.InProgress()
+	cut := s.inProgress()
 	s.config.Log.WithFields(logrus.Fields{
 		"event": "stopped", "drain_time": s.config.Clock.Now().Sub(begin), "cut": cut,
 		"served": s.dispatcher.Served(), "error": err,
 	}).Info("")
 	if err != nil || cut > 0 {
-		return fmt.Errorf("%w: %d exchanges", ErrCut, cut)
+		return fmt.Errorf("%w: %d in progress", ErrCut, cut)
 	}
 	return nil
 }
