--- a/test/nodes_test.go
+++ b/test/nodes_test.go
@@ -50,6 +50,7 @@
 		return "", err
 	}
 	flags := append([]string{
+		"--seeds", w.seeds(),
 		"--id", args[0], "--zone", args[1], "--region", args[2],
 		"--caller-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0",
 		"--platform-url", "http://" + toPlatform.address(),
@@ -67,6 +68,17 @@
 	return "", w.connect(args[0], n)
 }
 
+// seeds returns the peer addresses of the entries so far.
+func (w *world) seeds() string {
+	var addresses []string
+	for _, n := range w.nodes {
+		if n.role == roleEntry {
+			addresses = append(addresses, n.front.address())
+		}
+	}
+	return strings.Join(addresses, ",")
+}
+
 // startFleet starts three entries in two zones with their backends and waits until they are ready: fleet [ENTRY FLAGS].
 func startFleet(w *world, args []string) (string, error) {
 	steps := [][]string{
