Take an upstream that answers neither requests nor probes out of use

Cause: TestScenarios/dead_behind_link: a dead backend server whose link still takes connections was a site's only one, and the ejector never ejects the last. Each of its requests ended unknown. Ruled out: letting the ejector eject the last one; fast errors that an upstream answers may come from the requests, and a site would refuse all work for them. Probes alone; they may fail while requests succeed. An upstream is dead when its last exchange and its last two probes got no answer, and lives again with the next probe that does; a failed exchange brings the next probe forward to 50 ms.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -193,6 +193,7 @@
 	result := d.result(slot.Upstream, reply, err, elapsed)
 	if result.Outcome == admitter.OutcomeOK || result.Outcome == admitter.OutcomeFailed {
 		s.ejector.Record(slot.Upstream.ID, result.Outcome == admitter.OutcomeFailed)
+		d.reports.exchanged(slot.Upstream.ID, reply.Outcome == eelgrassbeam.OutcomeAnswered, d.config.Clock.Now())
 	}
 	slot.Release(result)
 	return reply
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/logger"
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
 )
 
@@ -21,6 +22,10 @@
 	probeWorkers = 32
 	// reportLife is how many probe intervals a load report counts.
 	reportLife = 3
+	// deadProbes is the number of failed probes in a row, after a failed exchange, from which an upstream is dead.
+	deadProbes = 2
+	// suspectProbe is the time from a failed exchange to the next probe.
+	suspectProbe = 50 * time.Millisecond
 )
 
 // report is what an upstream said of its load.
@@ -31,8 +36,15 @@
 	// due is when it is asked next.
 	due  time.Time
 	busy bool
+	// failures counts failed probes in a row.
+	failures int
+	// suspect tells that the last exchange got no answer.
+	suspect bool
 }
 
+// isDead tells whether neither requests nor probes get an answer.
+func (r *report) isDead() bool { return r.suspect && r.failures >= deadProbes }
+
 // reports hold the load that each upstream of the entry's sites last told.
 type reports struct {
 	mu   sync.Mutex
@@ -59,7 +71,7 @@
 	return true
 }
 
-// put ends a probe; a failed one leaves the earlier report to age.
+// put ends a probe; a failed one leaves the earlier report to age, a good one ends all doubt.
 func (r *reports) put(id eelgrassbeam.UpstreamID, load upstream.Load, asked time.Time, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,9 +80,33 @@
 		return
 	}
 	known.busy = false
-	if err == nil {
-		known.load, known.at = load, asked
+	if err != nil {
+		known.failures++
+		return
+	}
+	known.load, known.at, known.failures, known.suspect = load, asked, 0, false
+}
+
+// exchanged notes whether the upstream answered a request; one that did not is probed soon.
+func (r *reports) exchanged(id eelgrassbeam.UpstreamID, answered bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.last[id]
+	if !ok {
+		return
 	}
+	known.suspect = !answered
+	if soon := now.Add(suspectProbe); !answered && known.due.After(soon) && known.failures < deadProbes {
+		known.due = soon
+	}
+}
+
+// isDead tells whether neither requests nor probes get an answer from the upstream.
+func (r *reports) isDead(id eelgrassbeam.UpstreamID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.last[id]
+	return ok && known.isDead()
 }
 
 // share returns the share of its slots that the upstream reported in use; false without a fresh report.
@@ -136,10 +172,26 @@
 	defer cancel()
 	asked := d.config.Clock.Now()
 	load, err := d.config.Upstreams.Load(ctx, u, d.limits(u.Service))
+	wasDead := d.reports.isDead(u.ID)
 	d.reports.put(u.ID, load, asked, err)
+	if isDead := d.reports.isDead(u.ID); isDead != wasDead {
+		d.logDeath(u.ID, isDead)
+	}
 	if load.Leaving || errors.Is(err, upstream.ErrLeaving) {
 		d.markLeaving(u.ID)
 	} else if err == nil {
 		d.unmarkLeaving(u.ID, asked)
 	}
 }
+
+// logDeath logs that an upstream was taken for dead or came back, and puts it in force.
+func (d *Dispatcher) logDeath(id eelgrassbeam.UpstreamID, isDead bool) {
+	reason := "answers again"
+	if isDead {
+		reason = "answers neither requests nor probes"
+	}
+	d.config.Decisions.Record(logger.Decision{
+		Kind: logger.KindMembership, Choice: string(id), Reason: reason, Versions: d.versions(),
+	})
+	d.reconcile()
+}
--- a/dispatcher/site.go
+++ b/dispatcher/site.go
@@ -120,7 +120,7 @@
 	var usable []admitter.UpstreamSlots
 	inUse := make(map[eelgrassbeam.UpstreamID]bool, len(upstreams))
 	for _, u := range upstreams {
-		if _, leaves := d.leaving[u.ID]; leaves {
+		if _, leaves := d.leaving[u.ID]; leaves || d.reports.isDead(u.ID) {
 			continue
 		}
 		full := ramper.FullSlots(configuration, u, now)
