--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,7 +4,7 @@
 LDFLAGS := -X main.version=$(VERSION)
 export CGO_ENABLED := 1
 
-.PHONY: build demo test check capacity measure generate
+.PHONY: build demo test check capacity measure proofs generate
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -27,6 +27,9 @@
 	bin/eelgrassbeam-demo -experiment flood -user sencnik
 	bin/eelgrassbeam-demo -experiment shift -user sencnik
 
+proofs:
+	script/proofs
+
 check:
 	script/bare-go
 	golangci-lint fmt --diff
