--- a/test/directory_test.go
+++ b/test/directory_test.go
@@ -24,6 +24,8 @@
 	bootstrap []string
 	// direct uses the bootstrap URLs without look-ups.
 	direct bool
+	// follow uses entries that the bootstrap does not name too.
+	follow bool
 
 	mu      sync.Mutex
 	usable  []string
@@ -38,11 +40,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for range d.bootstrap {
+	known := slices.Concat(d.usable, d.bootstrap)
+	for range known {
 		if time.Now().Before(d.expires) {
 			break
 		}
-		d.ask(d.bootstrap[d.asked%len(d.bootstrap)])
+		d.ask(known[d.asked%len(known)])
 		d.asked++
 	}
 	if len(d.usable) == 0 {
@@ -64,7 +67,7 @@
 	}
 	var named []string
 	for _, entry := range decoded.Entries {
-		if url := fmt.Sprintf("http://%s", entry.Address); slices.Contains(d.bootstrap, url) {
+		if url := fmt.Sprintf("http://%s", entry.Address); d.follow || slices.Contains(d.bootstrap, url) {
 			named = append(named, url)
 		}
 	}
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -26,6 +26,7 @@
 	loadSeed        = 1
 	maxPaddingBytes = 1024
 	loadTimeout     = 2 * time.Minute
+	loadedTimeout   = time.Minute
 	// repeatLimit bounds the time in which a caller repeats a refused request.
 	repeatLimit       = 15 * time.Second
 	defaultRetryAfter = 100 * time.Millisecond
@@ -87,6 +88,7 @@
 	direct := flags.Bool("direct", false, "send without look-ups")
 	flags.DurationVar(&l.maxMiss, "max-miss", loadTimeout, "longest time from the first request not answered to the last")
 	flags.StringVar(&l.unused, "unused", "", "node that may run no request")
+	follow := flags.Bool("follow", false, "send to all entries that look-ups name")
 	timeout := flags.Duration("timeout", 15*time.Second, "time after which the caller gives up")
 	if err := flags.Parse(args); err != nil {
 		return "", err
@@ -95,7 +97,7 @@
 		return "", errors.New("a load runs already")
 	}
 	l.client = newClient(l.c, *timeout)
-	l.directory = &directory{client: newClient(1, time.Second), direct: *direct}
+	l.directory = &directory{client: newClient(1, time.Second), direct: *direct, follow: *follow}
 	if err := l.aim(w, flags.Args()); err != nil {
 		return "", err
 	}
@@ -312,7 +314,11 @@
 	if err != nil {
 		return "", err
 	}
-	return poll(loadTimeout, func() (string, bool, error) { return "", w.load.finished.Load() >= n, nil })
+	out, err := poll(loadedTimeout, func() (string, bool, error) { return "", w.load.finished.Load() >= n, nil })
+	if err != nil {
+		return out, fmt.Errorf("%w: %d requests finished\n%s", err, w.load.finished.Load(), w.load.summary())
+	}
+	return out, nil
 }
 
 // waitLoad waits for the end of the load and prints its summary.
