Hold a term by one of two watchers

Cause: TestScenarios/entry_cut: in a fleet of three, each entry has two watchers and needed both for its term. One entry that sends but can't be reached acknowledges nothing, so the other two lost their terms and all sites stood still. Ruled out: the router; it chose other sites, whose dispatchers refused for want of a term. Dropping watchers that do not answer; with three watchers the two dropped ones could call an entry failed that the third holds up. A term needs as many watchers as meet every set that can call the entry failed. Both of two are needed for that call, so one is enough for the term; two of three stay.

--- a/monitor/term.go
+++ b/monitor/term.go
@@ -19,8 +19,9 @@
 	wasHeld bool
 }
 
-// quorum is the number of watchers that hold the term up: two of three, or all of fewer.
-func (e epoch) quorum() int { return min(len(e.watchers), len(e.watchers)/2+1) }
+// quorum is the number of watchers that hold the term up: two of three, else one. It meets each quorum that calls the
+// entry failed in at least one watcher.
+func (e epoch) quorum() int { return len(e.watchers) - len(e.watchers)/2 }
 
 // expiry returns when the term runs out that the acknowledgements give; zero before there is a quorum.
 func (e epoch) expiry(now time.Time, length time.Duration) time.Time {
--- a/monitor/watch.go
+++ b/monitor/watch.go
@@ -39,8 +39,8 @@
 	held bool
 }
 
-// quorum is the number of watchers that must call the entry silent; it meets each quorum that holds the term up.
-func (s suspect) quorum() int { return epoch{watchers: s.watchers}.quorum() }
+// quorum is the number of watchers that must call the entry silent: more than half, so both of two.
+func (s suspect) quorum() int { return len(s.watchers)/2 + 1 }
 
 // watchTable is the receiver's side of the heartbeats.
 type watchTable struct {
