Give a region that comes back its client blocks bit by bit

Ruled out: the load's own shape. The part of the blocks rises by the ramp of the upstreams' slots, from when the entry that answers saw the region come back; TestRegionComesBackBitByBit fails without it. Conclusion: a whole fleet that starts cold still refuses work for slow_start.

--- a/loader/finder.go
+++ b/loader/finder.go
@@ -22,15 +22,18 @@
 
 // finder keeps one caller's look-up answer until its TTL ends.
 type finder struct {
-	loader  *Loader
-	ask     int
+	loader *Loader
+	ask    int
+	// client is an address of the caller's own block.
+	client  string
 	entries []string
 	until   time.Time
 	avoided map[string]time.Time
 }
 
 func newFinder(l *Loader, worker int) *finder {
-	return &finder{loader: l, ask: worker, avoided: make(map[string]time.Time)}
+	client := fmt.Sprintf("198.%d.%d.1", 18+worker>>8&1, worker&255)
+	return &finder{loader: l, ask: worker, client: client, avoided: make(map[string]time.Time)}
 }
 
 // entry returns the best entry that has not failed lately.
@@ -75,7 +78,7 @@
 func (f *finder) lookup(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+lookupPath, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+lookupPath+"?client="+f.client, nil)
 	if err != nil {
 		return err
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,6 +49,8 @@
 	ReasonHome Reason = "home"
 	// ReasonElsewhere says that neither of these is usable.
 	ReasonElsewhere Reason = "elsewhere"
+	// ReasonCold says that the region has come back and gets its blocks bit by bit.
+	ReasonCold Reason = "cold"
 )
 
 // Placement is the answer to a look-up.
@@ -73,6 +75,8 @@
 	building sync.Mutex
 	// byPosition hashes entries by their place in the list; tests use it to break stability.
 	byPosition bool
+	// skipsRamp gives a region that comes back all its blocks at once; tests only.
+	skipsRamp bool
 }
 
 // New returns a Placer over the blocks.
@@ -104,6 +108,11 @@
 	if region == nil {
 		return Placement{}, false
 	}
+	if region.isCold(hash, now, config.Defaults.SlowStart.Duration) && !p.skipsRamp {
+		if other := t.elsewhere(region, hash); other != nil {
+			region, reason = other, ReasonCold
+		}
+	}
 	placement := Placement{
 		Entries: t.pick(region, hash, config.Defaults.LookupEntries), Block: block, Region: region.id,
 		Reason: reason, Revision: fleet.Revision, Version: config.Version,
@@ -155,6 +164,9 @@
 		return t
 	}
 	t := newTable(fleet, config, now, p.byPosition)
+	if old := p.current.Load(); old != nil {
+		t.follow(old)
+	}
 	p.current.Store(t)
 	return t
 }
--- a/placer/table.go
+++ b/placer/table.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/ramper"
 )
 
 // table is what look-ups need of one fleet and configuration.
@@ -30,6 +31,8 @@
 	zones      int
 	// weighted is set unless all weights are equal.
 	weighted bool
+	// usableSince is when the region came back into use; zero for one that never was out of use.
+	usableSince time.Time
 }
 
 // candidate is what scoring needs of a usable entry.
@@ -69,6 +72,27 @@
 	return t
 }
 
+// follow takes over since when the regions of the table before are in use; the others come back now.
+func (t *table) follow(old *table) {
+	for _, region := range t.regions {
+		if before, ok := old.byID[region.id]; ok {
+			region.usableSince = before.usableSince
+			continue
+		}
+		region.usableSince = t.since
+	}
+}
+
+// isCold tells whether the block does not yet belong to the part that a region which came back serves. The part rises
+// over the slow start, as its upstreams' slots do.
+func (r *regionTable) isCold(block uint64, now time.Time, slowStart time.Duration) bool {
+	if r.usableSince.IsZero() {
+		return false
+	}
+	place := float64(mix(r.hash, block)>>11) / (1 << 53)
+	return place >= ramper.Share(now.Sub(r.usableSince), slowStart)
+}
+
 func (t *table) join(id eelgrassbeam.RegionID) *regionTable {
 	if region, ok := t.byID[id]; ok {
 		return region
