Tell operators the load of every site and upstream

Ruled out: the status of the entry's own sites alone, which misleads as much. Before: zeros. Conclusion: a dispatcher that does not answer leaves its sites at zero.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -32,8 +32,10 @@
 
 check:
 	script/bare-go
+	script/generated
 	golangci-lint fmt --diff
 	golangci-lint run
+	golangci-lint run --build-tags unguarded
 
 generate:
 	goa gen github.com/eelgrassbeam/eelgrassbeam/design
--- /dev/null
+++ b/admitter/report.go
@@ -0,0 +1,14 @@
+package admitter
+
+import "github.com/eelgrassbeam/eelgrassbeam"
+
+// UpstreamLoads returns the load of each upstream that has slots or work in progress.
+func (a *Admitter) UpstreamLoads() []eelgrassbeam.UpstreamLoad {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	loads := make([]eelgrassbeam.UpstreamLoad, 0, len(a.upstreams.states))
+	for _, u := range a.upstreams.states {
+		loads = append(loads, eelgrassbeam.UpstreamLoad{ID: u.upstream.ID, Slots: u.bound(), InProgress: u.inProgress})
+	}
+	return loads
+}
--- a/cmd/eelgrassbeamd/settings.go
+++ b/cmd/eelgrassbeamd/settings.go
@@ -42,7 +42,7 @@
 	flags.DurationVar(&s.platformTimeout, "platform-timeout", 2*time.Second, "time limit of one call to the platform, 100ms to 1m")
 	flags.StringVar(&s.seeds, "seeds", "", "peer addresses, ip:port separated by commas, that are asked while the platform is down")
 	flags.StringVar(&s.loadPath, "load-path", "/load", "path of an upstream's load report")
-	flags.StringVar(&s.probePath, "probe-path", "/health", "path of an upstream's health probe")
+	flags.StringVar(&s.probePath, "probe-path", "/health", "path of an upstream's health probe, asked where it gives no load report")
 	flags.DurationVar(&s.stopTimeout, "stop-timeout", time.Minute, "time limit of a planned stop, 1s to 1h")
 	flags.StringVar(&s.logLevel, "log-level", "info", "debug, info, warning or error")
 	flags.StringVar(&s.decisionLog, "decision-log", "all", "log lines for routing and placement decisions: all, sampled (1 in 100) or off")
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -171,7 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	asked := d.config.Clock.Now()
-	load, err := d.config.Upstreams.Load(ctx, u, d.limits(u.Service))
+	load, err := d.ask(ctx, u)
 	wasDead := d.reports.isDead(u.ID)
 	d.reports.put(u.ID, load, asked, err)
 	if isDead := d.reports.isDead(u.ID); isDead != wasDead {
@@ -184,6 +184,16 @@
 	}
 }
 
+// ask returns the upstream's load report; one that gives none is asked for its health, and its load is zero.
+func (d *Dispatcher) ask(ctx context.Context, u eelgrassbeam.Upstream) (upstream.Load, error) {
+	limits := d.limits(u.Service)
+	load, err := d.config.Upstreams.Load(ctx, u, limits)
+	if err == nil || errors.Is(err, upstream.ErrLeaving) || ctx.Err() != nil {
+		return load, err
+	}
+	return upstream.Load{}, d.config.Upstreams.Probe(ctx, u, limits)
+}
+
 // logDeath logs that an upstream was taken for dead or came back, and puts it in force.
 func (d *Dispatcher) logDeath(id eelgrassbeam.UpstreamID, isDead bool) {
 	reason := "answers again"
--- a/dispatcher/site.go
+++ b/dispatcher/site.go
@@ -211,15 +211,17 @@
 	return ok
 }
 
-// Loads returns the load of each site that the entry dispatches for.
-func (d *Dispatcher) Loads() map[eelgrassbeam.Site]eelgrassbeam.SiteLoad {
+// Loads returns the load of the sites that the entry dispatches for.
+func (d *Dispatcher) Loads() eelgrassbeam.LoadReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	loads := make(map[eelgrassbeam.Site]eelgrassbeam.SiteLoad, len(d.sites))
+	var report eelgrassbeam.LoadReport
 	for key, s := range d.sites {
-		loads[key] = s.queue.Load()
+		report.Sites = append(report.Sites, eelgrassbeam.SiteReport{
+			Site: key, Load: s.queue.Load(), Upstreams: s.queue.UpstreamLoads(),
+		})
 	}
-	return loads
+	return report
 }
 
 // Served counts the exchanges since the start.
--- a/sender/remote.go
+++ b/sender/remote.go
@@ -43,8 +43,13 @@
 	Forward(ctx context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error)
 	Cancel(id eelgrassbeam.RequestID, incarnation uint64, age time.Duration) (eelgrassbeam.Cancellation, *eelgrassbeam.Reply)
 	Incarnation() uint64
+	// Loads returns the load of the sites that the entry dispatches for.
+	Loads() eelgrassbeam.LoadReport
 }
 
+// LoadQuestion asks a dispatcher for its load.
+type LoadQuestion struct{}
+
 // Register lets other entries call the receiver.
 func Register(server grpc.ServiceRegistrar, receiver Receiver) {
 	server.RegisterService(&grpc.ServiceDesc{
@@ -58,6 +63,11 @@
 				func(r Receiver, ctx context.Context, request *eelgrassbeam.Request) (*eelgrassbeam.Reply, error) {
 					return handleForward(ctx, r, request)
 				}),
+			peer.Unary(dispatchService, "Loads",
+				func(r Receiver, _ context.Context, _ *LoadQuestion) (*eelgrassbeam.LoadReport, error) {
+					report := r.Loads()
+					return &report, nil
+				}),
 			peer.Unary(dispatchService, "Cancel", func(r Receiver, _ context.Context, q *CancelQuestion) (*CancelAnswer, error) {
 				state, reply := r.Cancel(q.AttemptID, q.Incarnation, q.Age.Duration)
 				return &CancelAnswer{State: state, Reply: reply}, nil
@@ -144,6 +154,19 @@
 	return answer.State, answer.Reply, nil
 }
 
+// Loads asks the entry for the load of the sites that it dispatches for.
+func (p *Peers) Loads(ctx context.Context, to eelgrassbeam.Entry) (eelgrassbeam.LoadReport, error) {
+	conn, err := p.pool.Conn(to.PeerAddress)
+	if err != nil {
+		return eelgrassbeam.LoadReport{}, err
+	}
+	report, err := peer.Call[eelgrassbeam.LoadReport](ctx, conn, dispatchService, "Loads", &LoadQuestion{})
+	if err != nil {
+		return eelgrassbeam.LoadReport{}, fmt.Errorf("loads of %s: %w", to.ID, err)
+	}
+	return *report, nil
+}
+
 func (p *Peers) known(address netip.AddrPort) (uint64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/steerer/build.go
+++ b/steerer/build.go
@@ -140,9 +140,10 @@
 		Self: s.self, Fleet: s.monitor, Configuration: s.holder, Credits: s.wallet,
 		Random: rand.NewPCG(s.incarnation, 0),
 	})
+	s.remote = sender.NewPeers(s.pool)
 	s.sender = sender.New(sender.Config{
 		Self: s.self, Incarnation: s.incarnation, Clock: s.config.Clock, Log: s.config.Log, Decisions: s.decisions,
-		Fleet: s.monitor, Configuration: s.holder, Budget: retrier.New(retrier.Config{Registerer: s.registry}), Owners: s.assigner, Local: s.dispatcher, Remote: sender.NewPeers(s.pool),
+		Fleet: s.monitor, Configuration: s.holder, Budget: retrier.New(retrier.Config{Registerer: s.registry}), Owners: s.assigner, Local: s.dispatcher, Remote: s.remote,
 		Chooser: s.router,
 	})
 }
--- a/steerer/report.go
+++ b/steerer/report.go
@@ -27,10 +27,11 @@
 	}
 	fleet, now := s.monitor.Fleet(), s.config.Clock.Now()
 	status.Entries = entryStatuses(fleet, configuration, inForce, now)
+	sites := s.siteReports(ctx, fleet)
 	for _, u := range fleet.Upstreams {
-		status.Upstreams = append(status.Upstreams, s.upstreamStatus(fleet, configuration, u, now))
+		status.Upstreams = append(status.Upstreams, s.upstreamStatus(fleet, configuration, sites, u, now))
 	}
-	status.Zones = s.zoneStatuses(fleet, configuration, now)
+	status.Zones = zoneStatuses(fleet, configuration, sites, now)
 	return status, nil
 }
 
@@ -64,12 +65,12 @@
 }
 
 func (s *Steerer) upstreamStatus(
-	fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, u eelgrassbeam.Upstream, now time.Time,
+	fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, sites siteReports, u eelgrassbeam.Upstream, now time.Time,
 ) operator.UpstreamStatus {
 	owner, _ := s.assigner.Owner(fleet, eelgrassbeam.Site{Service: u.Service, Zone: u.Zone})
 	status := operator.UpstreamStatus{
 		ID: u.ID, Service: u.Service, Zone: u.Zone, Region: u.Region, State: u.State,
-		Drained: configuration.IsUpstreamDrained(u, now), Dispatcher: owner.ID,
+		Drained: configuration.IsUpstreamDrained(u, now), Dispatcher: owner.ID, SiteLoad: sites.upstream(u),
 	}
 	if s.dispatcher.IsLeaving(u.ID) {
 		status.State = eelgrassbeam.InstanceLeaving
@@ -77,9 +78,9 @@
 	return status
 }
 
-// zoneStatuses counts what takes new work in each zone; loads are those of the sites that this entry dispatches for.
-func (s *Steerer) zoneStatuses(
-	fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, now time.Time,
+// zoneStatuses counts what takes new work in each zone.
+func zoneStatuses(
+	fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration, sites siteReports, now time.Time,
 ) []operator.ZoneStatus {
 	var zones []operator.ZoneStatus
 	zone := func(id eelgrassbeam.ZoneID, region eelgrassbeam.RegionID) *operator.ZoneStatus {
@@ -103,18 +104,6 @@
 			z.LiveUpstreams++
 		}
 	}
-	s.addLoads(zones)
+	sites.add(zones)
 	return zones
 }
-
-func (s *Steerer) addLoads(zones []operator.ZoneStatus) {
-	for site, load := range s.dispatcher.Loads() {
-		i := slices.IndexFunc(zones, func(z operator.ZoneStatus) bool { return z.Zone == site.Zone })
-		if i < 0 {
-			continue
-		}
-		zones[i].Slots += load.Slots
-		zones[i].InProgress += load.InProgress
-		zones[i].Waiting += load.Waiting
-	}
-}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -58,6 +58,7 @@
 	granter       *granter.Granter
 	wallet        *granter.Wallet
 	router        *router.Router
+	remote        *sender.Peers
 	sender        *sender.Sender
 	keeper        *keeper.Keeper
 	keys          *keeper.Router
