Report as unknown what an earlier attempt may have run

Cause: found in a read-through: an idempotent request whose first attempt ended unknown is sent again, and if the next attempt was refused, its 'not run' went to the caller though the first may have run. Ruled out: the keys' router, which turns such refusals already; non-idempotent requests, which are not sent again. Before: the new case of TestSend fails, 'not_run != unknown', with one run at the receiver. After: it passes. Conclusion: a refusal that says not run is true after retries, too.

--- a/sender/sender.go
+++ b/sender/sender.go
@@ -108,9 +108,19 @@
 // New returns a Sender.
 func New(config Config) *Sender { return &Sender{config: config} }
 
-// Send returns what became of the request; it attempts again while that is safe, in time and in budget. Attempts that
-// reached no upstream cost no budget.
+// Send returns what became of the request; it attempts again while that is safe, in time and in budget. A request of
+// which one attempt may have run is never reported as not run.
 func (s *Sender) Send(ctx context.Context, request eelgrassbeam.Request) eelgrassbeam.Reply {
+	reply, mayHaveRun := s.send(ctx, request)
+	if mayHaveRun && reply.Outcome == eelgrassbeam.OutcomeNotRun {
+		return eelgrassbeam.Unknown(request.ID, reply.Reason).WithRetryAfter(reply.RetryAfter)
+	}
+	return reply
+}
+
+// send returns the last attempt's reply and whether an attempt before it may have run. Attempts that reached no upstream
+// cost no budget.
+func (s *Sender) send(ctx context.Context, request eelgrassbeam.Request) (reply eelgrassbeam.Reply, mayHaveRun bool) {
 	deadline := s.config.Clock.Now().Add(request.TimeLeft.Duration)
 	share := s.retryShare(request.Service)
 	s.config.Budget.RecordFirst(request.Service, share)
@@ -120,16 +130,17 @@
 		request = request.WithAttempt(attempt, s.nextAttemptID())
 		reply, site, err := s.try(ctx, request, tried, deadline)
 		if errors.Is(err, ErrNoGrant) || !s.isRetryable(request, reply) {
-			return reply
+			return reply, mayHaveRun
 		}
+		mayHaveRun = mayHaveRun || reply.Outcome == eelgrassbeam.OutcomeUnknown
 		if mayHaveReached(reply) {
 			reached++
 			if reached == maxAttempts || !s.config.Budget.AllowRetry(request.Service, share) {
-				return reply
+				return reply, mayHaveRun
 			}
 		}
 		if !s.wait(ctx, pause, deadline) {
-			return reply
+			return reply, mayHaveRun
 		}
 		s.logRetry(request, reply)
 		tried = appendSite(tried, site)
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -20,13 +20,15 @@
 type receiver struct {
 	runs                            int
 	unreached, loseRequest, loseAll bool
-	loseReplies                     int
-	barred                          map[eelgrassbeam.RequestID]bool
-	replies                         map[eelgrassbeam.RequestID]eelgrassbeam.Reply
+	// dies makes the receiver unreachable after its first run.
+	dies        bool
+	loseReplies int
+	barred      map[eelgrassbeam.RequestID]bool
+	replies     map[eelgrassbeam.RequestID]eelgrassbeam.Reply
 }
 
 func (r *receiver) Greet(context.Context, eelgrassbeam.Entry) (uint64, error) {
-	if r.unreached {
+	if r.unreached || r.dies && r.runs > 0 {
 		return 0, errLost
 	}
 	return 1, nil
@@ -128,6 +130,10 @@
 		r := &receiver{loseReplies: 1, loseAll: true}
 		assert(t, send(t, r, true, false), eelgrassbeam.OutcomeAnswered, r, 2)
 	})
+	t.Run("what may have run is not reported as not run after a retry that was refused", func(t *testing.T) {
+		r := &receiver{loseReplies: 1, loseAll: true, dies: true}
+		assert(t, send(t, r, true, false), eelgrassbeam.OutcomeUnknown, r, 1)
+	})
 	t.Run("retries end with the budget", func(t *testing.T) {
 		r := &receiver{loseReplies: 100, loseAll: true}
 		assert(t, send(t, r, true, false), eelgrassbeam.OutcomeUnknown, r, maxAttempts)
