Apply changed customer weights and list the sites once a view

Cause: found in a read-through: a change of customer_weights alone never reached the queues, since only the service was compared; and each 100 ms the dispatcher walked all upstreams once a service, which at 17 services, 850 sites and 5,100 upstreams is millions of comparisons a second. Ruled out: a new queue at each change, which refuses what waits. Before: weights as of the role's start. Conclusion: the cost at full size is not measured; the walk of the probes remains.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -62,6 +62,7 @@
 	counts sync.Map
 	mu     sync.Mutex
 	sites  map[eelgrassbeam.Site]*site
+	survey survey
 	// leaving holds upstreams that said themselves that they leave, with the time when it was said.
 	leaving map[eelgrassbeam.UpstreamID]time.Time
 }
--- a/dispatcher/site.go
+++ b/dispatcher/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"reflect"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,20 @@
 	ejector *ejector.Ejector
 	ramper  *ramper.Ramper[eelgrassbeam.UpstreamID]
 	service eelgrassbeam.Service
+	weights map[eelgrassbeam.CustomerID]float64
+}
+
+// located is a site with its service's settings.
+type located struct {
+	site    eelgrassbeam.Site
+	service eelgrassbeam.Service
+}
+
+// survey holds all sites of one fleet and configuration.
+type survey struct {
+	fleet         *eelgrassbeam.Fleet
+	configuration *eelgrassbeam.Configuration
+	sites         []located
 }
 
 // Run keeps the sites in step with the fleet, the configuration and the roles until the context ends; then it
@@ -62,15 +77,12 @@
 	defer d.mu.Unlock()
 	d.forgetLeft(now)
 	owned := make(map[eelgrassbeam.Site]bool)
-	for _, service := range configuration.Defaults.Services {
-		for _, located := range fleet.ServiceSites(service.Name) {
-			_, ok := d.config.Assigner.MayDispatch(fleet, located.Site, now)
-			if !ok {
-				continue
-			}
-			owned[located.Site] = true
-			d.reconcileSite(configuration, fleet, service, located.Site, now)
+	for _, l := range d.located(fleet, configuration) {
+		if _, ok := d.config.Assigner.MayDispatch(fleet, l.site, now); !ok {
+			continue
 		}
+		owned[l.site] = true
+		d.reconcileSite(configuration, fleet, l.service, l.site, now)
 	}
 	for key, s := range d.sites {
 		if !owned[key] {
@@ -81,14 +93,29 @@
 	}
 }
 
+// located returns all sites, from the last call where fleet and configuration are the same; the caller holds the mutex.
+func (d *Dispatcher) located(fleet *eelgrassbeam.Fleet, configuration *eelgrassbeam.Configuration) []located {
+	if d.survey.fleet == fleet && d.survey.configuration == configuration {
+		return d.survey.sites
+	}
+	d.survey = survey{fleet: fleet, configuration: configuration}
+	for _, service := range configuration.Defaults.Services {
+		for _, site := range fleet.ServiceSites(service.Name) {
+			d.survey.sites = append(d.survey.sites, located{site: site.Site, service: service})
+		}
+	}
+	return d.survey.sites
+}
+
 func (d *Dispatcher) reconcileSite(
 	configuration *eelgrassbeam.Configuration, fleet *eelgrassbeam.Fleet, service eelgrassbeam.Service,
 	key eelgrassbeam.Site, now time.Time,
 ) {
 	s, ok := d.sites[key]
-	if ok && !reflect.DeepEqual(s.service, service) {
-		s.queue.SetPolicy(service, configuration.Defaults.CustomerWeights)
-		s.service = service
+	weights := configuration.Defaults.CustomerWeights
+	if ok && (!reflect.DeepEqual(s.service, service) || !maps.Equal(s.weights, weights)) {
+		s.queue.SetPolicy(service, weights)
+		s.service, s.weights = service, weights
 	}
 	if !ok {
 		s = d.newSite(configuration, service)
@@ -109,6 +136,7 @@
 		ejector: ejector.New(ejector.Config{Clock: d.config.Clock, Log: d.config.Log, Metrics: d.metrics.ejector}),
 		ramper:  ramper.New[eelgrassbeam.UpstreamID](ramper.Config{Clock: d.config.Clock}),
 		service: service,
+		weights: configuration.Defaults.CustomerWeights,
 	}
 }
 
