--- a/caller/answer.go
+++ b/caller/answer.go
@@ -33,7 +33,7 @@
 	}
 }
 
-func fault503(reply eelgrassbeam.Reply) refusal {
+func refusalOf(reply eelgrassbeam.Reply) refusal {
 	return refusal{
 		RequestID: reply.RequestID, Outcome: reply.Outcome, Reason: reply.Reason,
 		NotRun: reply.Outcome == eelgrassbeam.OutcomeNotRun,
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -74,7 +74,7 @@
 		writeAnswer(w, request, reply)
 		return
 	}
-	writeFault(w, fault503(reply))
+	writeFault(w, refusalOf(reply))
 }
 
 // read checks the request; the rank and idempotence come from the configuration alone.
