Use one Forwarder and the library's comparison

Cause: read once more, three things stood twice or unused: sender.Local was the root's Forwarder under another name, compareIDs was cmp.Compare, and nothing used Canceller. Before: both copies. After: one of each, behaviour as it was; make check, the tests of the packages touched and the scenarios path and dispatcher_kill pass.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -88,7 +88,7 @@
 	return reply, nil
 }
 
-// Cancel implements the receiver's side of eelgrassbeam.Canceller.
+// Cancel implements sender.Receiver: it bars an attempt that has not started and tells the truth about any other.
 func (d *Dispatcher) Cancel(id eelgrassbeam.RequestID, incarnation uint64, age time.Duration) (eelgrassbeam.Cancellation, *eelgrassbeam.Reply) {
 	return d.config.Recorder.Cancel(id, incarnation, age)
 }
--- a/fleet.go
+++ b/fleet.go
@@ -1,6 +1,7 @@
 package eelgrassbeam
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 )
@@ -55,14 +56,14 @@
 		}
 		fleet.Upstreams = append(fleet.Upstreams, upstreamOf(row))
 	}
-	slices.SortFunc(fleet.Entries, func(a, b Entry) int { return compareIDs(a.ID, b.ID) })
-	slices.SortFunc(fleet.Upstreams, func(a, b Upstream) int { return compareIDs(a.ID, b.ID) })
+	slices.SortFunc(fleet.Entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(fleet.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	return fleet
 }
 
 // Entry returns the entry with the given id.
 func (f *Fleet) Entry(id EntryID) (Entry, bool) {
-	i, ok := slices.BinarySearchFunc(f.Entries, id, func(e Entry, id EntryID) int { return compareIDs(e.ID, id) })
+	i, ok := slices.BinarySearchFunc(f.Entries, id, func(e Entry, id EntryID) int { return cmp.Compare(e.ID, id) })
 	if !ok {
 		return Entry{}, false
 	}
@@ -89,7 +90,7 @@
 			sites = append(sites, site)
 		}
 	}
-	slices.SortFunc(sites, func(a, b LocatedSite) int { return compareIDs(a.Zone, b.Zone) })
+	slices.SortFunc(sites, func(a, b LocatedSite) int { return cmp.Compare(a.Zone, b.Zone) })
 	return sites
 }
 
@@ -117,14 +118,3 @@
 		Zone: row.Zone, Region: row.Region, State: row.State,
 	}
 }
-
-func compareIDs[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/request.go
+++ b/request.go
@@ -239,8 +239,3 @@
 func (c *Cancellation) UnmarshalText(text []byte) error {
 	return decodeEnum(c, "cancellation", text, CancelNotStarted, CancelRunning, CancelDone)
 }
-
-// Canceller bars a request that has not started and tells the truth about any other.
-type Canceller interface {
-	Cancel(ctx context.Context, id RequestID) (Cancellation, *Reply, error)
-}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -63,11 +63,6 @@
 	Owner(fleet *eelgrassbeam.Fleet, site eelgrassbeam.Site) (eelgrassbeam.Entry, bool)
 }
 
-// Local serves the sites that this entry dispatches for itself.
-type Local interface {
-	Forward(ctx context.Context, request eelgrassbeam.Request) (eelgrassbeam.Reply, error)
-}
-
 // Remote brings requests to other entries.
 type Remote interface {
 	// Greet returns the incarnation of the entry; an error means that nothing was sent.
@@ -91,8 +86,9 @@
 	Chooser       Chooser
 	Budget        Budget
 	Owners        Owners
-	Local         Local
-	Remote        Remote
+	// Local serves the sites that this entry dispatches for itself.
+	Local  eelgrassbeam.Forwarder
+	Remote Remote
 	// ResendUnknown turns off the guard that a non-idempotent request of unknown outcome is never sent again. For tests only.
 	ResendUnknown bool
 }
