Reset connections to upstreams whose exchange is given up

The connection was closed in order, so the kernel kept sending what it held until the path healed.

Ruled out: a second attempt (the request went out once, at 9.05 s) and a late view (the upstream was known as leaving).

Connections that are idle still end in order.

Conclusion: closing an exchange half-way resets its connection.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -20,6 +20,7 @@
 	clock    eelgrassbeam.Clock
 	progress atomic.Int64 // time.Duration, zero outside an exchange
 	stalled  atomic.Bool  // a deadline has passed
+	busy     atomic.Bool  // an exchange has begun and its answer is not whole yet
 
 	mu      sync.Mutex
 	sealed  bool
@@ -32,16 +33,29 @@
 	c.mu.Lock()
 	c.written = 0
 	c.mu.Unlock()
+	c.busy.Store(true)
 	c.progress.Store(int64(progress))
 	c.extend()
 }
 
 // end ends an exchange whose answer is whole.
 func (c *countedConn) end() {
+	c.busy.Store(false)
 	c.progress.Store(0)
 	_ = c.SetDeadline(time.Time{})
 }
 
+// Close implements net.Conn. An exchange that is given up resets the connection: what the kernel still holds would otherwise reach
+// the upstream whenever a broken path heals, long after the caller has its final answer.
+func (c *countedConn) Close() error {
+	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.busy.Load() {
+		if err := socket.SetLinger(0); err != nil && !errors.Is(err, net.ErrClosed) {
+			return errors.Join(err, c.Conn.Close())
+		}
+	}
+	return c.Conn.Close()
+}
+
 // seal bars all further writes and tells whether anything may have been handed over.
 func (c *countedConn) seal() bool {
 	c.mu.Lock()
--- a/upstream/fault_test.go
+++ b/upstream/fault_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -142,6 +143,35 @@
 	is.Equal(counted.of("r1"), 1)
 }
 
+// TestAbandonedConnectionIsReset shows that giving up leaves nothing in the socket that could reach the upstream later, as it did
+// once a partition of twelve seconds had healed.
+func TestAbandonedConnectionIsReset(t *testing.T) {
+	ended := make(chan error, 1)
+	target, _ := script(t, func(conn net.Conn, r *http.Request) {
+		if r.Header.Get(HeaderRequestID) == "whole" {
+			answerWith(conn, "whole", "own", 3)
+		}
+		_, err := io.Copy(io.Discard, conn)
+		ended <- err
+	})
+	t.Run("an exchange that is given up", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		reply, _ := newClient(t).Exchange(ctx, target, post("r1", ""), testLimits)
+		assertOutcome(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonDeadline)
+		is.New(t).True(errors.Is(<-ended, syscall.ECONNRESET))
+	})
+	t.Run("a connection that is idle", func(t *testing.T) {
+		c := newClient(t)
+		reply, err := c.Exchange(within(t), target, post("whole", ""), testLimits)
+		is := is.New(t)
+		is.NoErr(err)
+		assertOutcome(t, reply, eelgrassbeam.OutcomeAnswered, "")
+		c.Close()
+		is.NoErr(<-ended)
+	})
+}
+
 func TestForget(t *testing.T) {
 	is := is.New(t)
 	entered, leave := make(chan struct{}), make(chan struct{})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -106,6 +106,9 @@
 
 // release takes back a connection after an exchange and keeps it if the exchange ended cleanly.
 func (p *pool) release(l *link, clean bool) {
+	if clean {
+		l.counted.end()
+	}
 	if !clean || l.http.Available() == 0 || !p.keep(l) {
 		l.close()
 		p.unreserve()
@@ -118,7 +121,6 @@
 	if p.retired {
 		return false
 	}
-	l.counted.end()
 	l.idleAt = p.client.config.Clock.Now()
 	p.idle = append(p.idle, l)
 	return true
