Start from what peers hold and list entries as of some seconds ago

Each of 80 entries listed 435 upstreams in nine pages at each start, and all entries every 15 s.

Change: a start waits 0.3 s for a peer's state (1.2 s at the first start of the fleet) before it lists; an entry that begins to watch goes on from what it holds; look-ups for unknown entries take the stale list, which costs a tenth. A start asks all its seeds at once.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -1,4 +1,4 @@
-// Package follower keeps a view in step with the platform's store: it lists each kind once and then watches it.
+// Package follower keeps a view in step with the platform's store: it starts from what peers hold, or else a list, and then watches.
 package follower
 
 import (
@@ -26,12 +26,16 @@
 	joinPause = 300 * time.Millisecond
 	// idlePause is the time between looks whether this entry has to watch.
 	idlePause = 400 * time.Millisecond
+	// peerPause is the time between looks whether peers have told their state.
+	peerPause = 20 * time.Millisecond
 )
 
 // Sink takes over what the store holds of one kind.
 type Sink interface {
 	// Kind names the objects.
 	Kind() string
+	// Revision is how far what is held has come, zero while nothing is held. Peers may have told it.
+	Revision() uint64
 	// Replace takes over a whole list.
 	Replace(list eelgrassbeam.ObjectList)
 	// Apply takes over changes, in their order.
@@ -51,8 +55,10 @@
 	Log      logrus.FieldLogger
 	Observer Observer
 	Sinks    []Sink
-	// IsActive tells whether this entry watches the store; others list each kind once and learn of changes from peers.
+	// IsActive tells whether this entry watches the store; others learn of changes from peers.
 	IsActive func() bool
+	// PeerWait is how long a start waits for what peers hold before it lists, PassiveWait the same for an entry that doesn't watch.
+	PeerWait, PassiveWait time.Duration
 }
 
 // Follower follows the kinds of its sinks.
@@ -70,32 +76,34 @@
 	return group.Wait()
 }
 
-// follow lists and watches one kind. A compacted history leads to a list, never to an earlier state.
+// follow keeps up with one kind. A compacted history leads to a list, never to an earlier state.
 func (f *Follower) follow(ctx context.Context, sink Sink) error {
+	f.awaitPeers(ctx, sink)
 	var after uint64
-	pause, isListed := minPause, false
+	pause, isCompacted := minPause, false
 	for ctx.Err() == nil {
-		if isListed && !f.config.IsActive() {
-			after = 0
+		if held := sink.Revision(); held > 0 && !f.config.IsActive() {
+			isCompacted = false
 			f.pause(ctx, idlePause)
 			continue
+		} else if held > after && !isCompacted {
+			after = held
 		}
 		var err error
-		if after == 0 {
+		if after == 0 || isCompacted {
 			after, err = f.list(ctx, sink)
-			isListed = isListed || err == nil
 		} else {
 			after, err = f.watch(ctx, sink, after)
 		}
 		if err == nil {
 			f.config.Observer.NoteAnswer()
-			pause = minPause
+			pause, isCompacted = minPause, false
 			continue
 		}
 		if errors.Is(err, eelgrassbeam.ErrCompacted) {
 			f.config.Log.WithFields(logrus.Fields{"event": "history_compacted", "kind": sink.Kind(), "after": after}).Info("")
 			f.config.Observer.NoteAnswer()
-			after = 0
+			isCompacted = true
 			continue
 		}
 		f.config.Observer.NoteFailure()
@@ -105,6 +113,24 @@
 	return nil
 }
 
+// awaitPeers gives peers a while to tell what they hold, which costs the platform no call.
+func (f *Follower) awaitPeers(ctx context.Context, sink Sink) {
+	begun := f.config.Clock.Now()
+	for ctx.Err() == nil && sink.Revision() == 0 {
+		wait := f.config.PeerWait
+		if !f.config.IsActive() {
+			wait = max(wait, f.config.PassiveWait)
+		}
+		if f.config.Clock.Now().Sub(begun) >= wait {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.config.Clock.After(peerPause):
+		}
+	}
+}
+
 func (f *Follower) list(ctx context.Context, sink Sink) (uint64, error) {
 	list, err := f.config.Store.List(ctx, sink.Kind())
 	if err != nil {
--- a/fronter/fronter.go
+++ b/fronter/fronter.go
@@ -54,6 +54,12 @@
 	defaultHeaderBytes = 64 << 10
 	// answerGrace is how long after a request's deadline an answer on its way is awaited: more than a way between regions and back.
 	answerGrace = 100 * time.Millisecond
+	// peerWait is how long a start waits for the state of peers before it lists the store's: two calls to a seed in another region.
+	peerWait = 300 * time.Millisecond
+	// firstPeerWait is that time when the whole fleet starts, so that entries find those of their zone first.
+	firstPeerWait = 1200 * time.Millisecond
+	// passiveWait is that time for an entry that knows others of its zone to watch: three rounds of gossip.
+	passiveWait = 1500 * time.Millisecond
 	// retryBurst is the number of repeats that an entry may save up for a service.
 	retryBurst = 3
 )
@@ -126,8 +132,13 @@
 		Self: f.self, Pool: f.pool, Clock: f.config.Clock, Log: f.log, Seeds: f.config.Node.Seeds,
 		Replica: f.viewer, Directory: platform.Entries{Store: f.store}, IsReady: f.isReady, HasStore: f.viewer.HasStore,
 	})
+	wait := peerWait
+	if f.config.Node.IsFirstStart {
+		wait = firstPeerWait
+	}
 	f.follower = follower.New(follower.Config{
 		Store: f.store, Clock: f.config.Clock, Log: f.log, Observer: f.viewer, IsActive: f.gossiper.Watches,
+		PeerWait: wait, PassiveWait: passiveWait,
 		Sinks: platform.NewSinks(platform.SinkConfig{
 			Viewer: f.viewer, Clock: f.config.Clock, Log: f.log, Regions: f.config.Node.Regions,
 		}),
--- a/gossiper/discover.go
+++ b/gossiper/discover.go
@@ -19,7 +19,12 @@
 				g.config.Log.WithFields(logrus.Fields{"event": "register_failed", "error": err}).Warn("")
 			}
 		}
-		entries, err := g.config.Directory.List(ctx)
+		// An entry that knows others learns of new ones from them sooner than from the store.
+		list := g.config.Directory.ListStale
+		if len(g.Members()) == 1 {
+			list = g.config.Directory.List
+		}
+		entries, err := list(ctx)
 		if err != nil {
 			g.config.Log.WithFields(logrus.Fields{"event": "discover_failed", "error": err}).Warn("")
 		}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -131,9 +131,11 @@
 
 // Directory holds where entries can be reached.
 type Directory interface {
-	// Register writes this entry; List returns all entries that were ever written and not removed.
+	// Register writes this entry.
 	Register(ctx context.Context, self eelgrassbeam.Entry) error
+	// List returns all entries that were ever written and not removed, ListStale the same as of some seconds ago for less.
 	List(ctx context.Context) ([]eelgrassbeam.Entry, error)
+	ListStale(ctx context.Context) ([]eelgrassbeam.Entry, error)
 }
 
 // record is a member with the time of its latest sign of life.
--- a/gossiper/round.go
+++ b/gossiper/round.go
@@ -80,9 +80,12 @@
 			lost = append(lost, seed)
 		}
 	}
+	if len(g.records) == 0 {
+		return lost // a start asks all seeds, for their state too
+	}
 	chosen := anyOf(near)
 	rounds := max(farRounds, uint64(len(g.records)/farMembers))
-	if g.self.Count%rounds == 0 || len(g.records) == 0 {
+	if g.self.Count%rounds == 0 {
 		chosen = append(chosen, anyOf(live)...)
 		chosen = append(chosen, anyOf(lost)...)
 	}
