--- a/gossiper/round.go
+++ b/gossiper/round.go
@@ -7,8 +7,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/eelgrassbeam/eelgrassbeam/peer"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
 
 // round calls some peers at once.
