--- a/assigner/rendezvous.go
+++ b/assigner/rendezvous.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,12 @@
 	return digest.Sum64()
 }
 
+// Weigh turns a hash into a rendezvous score by which a candidate wins in proportion to its weight; the highest score wins.
+func Weigh(hash uint64, weight float64) float64 {
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(uniform)
+}
+
 // Rank returns the entries by falling score for the key; ties go by ID.
 func Rank(key string, entries []eelgrassbeam.Entry) []eelgrassbeam.Entry {
 	type scored struct {
--- a/fleet.go
+++ b/fleet.go
@@ -16,6 +16,8 @@
 	Zone            ZoneID         `json:"zone"`
 	Region          RegionID       `json:"region"`
 	State           InstanceState  `json:"state"`
+	// Capacity is the work that it takes in proportion to other entries; zero where it doesn't say.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Upstream is a backend server as the fleet sees it.
--- a/fronter/fronter.go
+++ b/fronter/fronter.go
@@ -4,7 +4,6 @@
 import (
 	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -107,7 +106,7 @@
 	f := &Fronter{config: config, registry: prometheus.NewRegistry()}
 	f.self = eelgrassbeam.Entry{
 		ID: node.ID, Zone: node.Zone, Region: node.Region, State: eelgrassbeam.InstanceLive,
-		Address: node.CallerAddress, PeerAddress: node.PeerAddress,
+		Address: node.CallerAddress, PeerAddress: node.PeerAddress, Capacity: capacity(node),
 	}
 	f.log = config.Log.WithField("entry", string(node.ID))
 	f.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -196,29 +195,3 @@
 
 // isReady tells whether this entry takes callers' requests.
 func (f *Fronter) isReady() bool { return !f.stopping.Load() && f.viewer.View().IsReady() }
-
-// Find implements platform.Finder: the ready entries of the caller's zone, else of its region, else all.
-func (f *Fronter) Find(zone eelgrassbeam.ZoneID, region eelgrassbeam.RegionID) []netip.AddrPort {
-	var inZone, inRegion, all []netip.AddrPort
-	for _, m := range f.gossiper.Members() {
-		if !m.IsReady || m.Entry.State != eelgrassbeam.InstanceLive {
-			continue
-		}
-		all = append(all, m.Entry.Address)
-		if m.Entry.Region == region {
-			inRegion = append(inRegion, m.Entry.Address)
-		}
-		if m.Entry.Zone == zone {
-			inZone = append(inZone, m.Entry.Address)
-		}
-	}
-	for _, found := range [][]netip.AddrPort{inZone, inRegion, all} {
-		if len(found) > 0 {
-			return found[:min(len(found), maxAddresses)]
-		}
-	}
-	return nil
-}
-
-// maxAddresses bounds the entries in an answer to a look-up; callers take no more.
-const maxAddresses = 64
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/assigner"
 )
 
 var (
@@ -389,9 +390,10 @@
 	if now.Sub(u.coldHomeAt) < coldHomeLife && !u.coldHomeAt.IsZero() {
 		return u.isColdHome
 	}
-	rank, own := 0, entryHash(u, p.config.Self.ID)
+	rank, upstream := 0, string(u.upstream.ID)
+	own := assigner.Score(upstream, p.config.Self.ID)
 	for _, id := range p.config.Entries() {
-		if id != p.config.Self.ID && entryHash(u, id) > own {
+		if id != p.config.Self.ID && assigner.Score(upstream, id) > own {
 			rank++
 		}
 	}
--- a/picker/state.go
+++ b/picker/state.go
@@ -3,13 +3,13 @@
 import (
 	"cmp"
 	"hash/maphash"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/assigner"
 )
 
 const (
@@ -191,15 +191,15 @@
 }
 
 func (s *service) sorted(key orderKey) []*state {
-	type hashed struct {
+	type scored struct {
 		state *state
-		hash  float64
+		score float64
 	}
-	found := make([]hashed, len(s.upstreams))
+	found := make([]scored, len(s.upstreams))
 	for i, u := range s.upstreams {
-		found[i] = hashed{state: u, hash: homeHash(key, u)}
+		found[i] = scored{state: u, score: homeScore(key, u)}
 	}
-	slices.SortFunc(found, func(a, b hashed) int { return cmp.Compare(b.hash, a.hash) })
+	slices.SortFunc(found, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	order := make([]*state, len(found))
 	for i := range found {
 		order[i] = found[i].state
@@ -207,13 +207,7 @@
 	return order
 }
 
-// homeHash is higher the better the upstream fits as a home of the key, in proportion to its slots.
-func homeHash(key orderKey, u *state) float64 {
-	h := xxhash.Sum64String(key.prefix + "\x00" + key.key + "\x00" + string(u.upstream.ID))
-	unit := (float64(h>>11) + 0.5) / (1 << 53)
-	return -float64(u.slots()) / math.Log(unit)
-}
-
-func entryHash(u *state, id eelgrassbeam.EntryID) uint64 {
-	return xxhash.Sum64String(string(u.upstream.ID) + "\x00" + string(id))
+// homeScore is higher the better the upstream fits as a home of the key, in proportion to its slots.
+func homeScore(key orderKey, u *state) float64 {
+	return assigner.Weigh(xxhash.Sum64String(key.prefix+"\x00"+key.key+"\x00"+string(u.upstream.ID)), float64(u.slots()))
 }
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -1,10 +1,10 @@
 package placer
 
 import (
-	"math"
 	"slices"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/assigner"
 )
 
 const (
@@ -92,11 +92,11 @@
 
 // score is the weighted rendezvous score; without weights the plain hash gives the same order.
 func (r *regionTable) score(c *candidate, block uint64) float64 {
-	uniform := (float64(mix(c.hash, block)>>11) + 0.5) / (1 << 53)
+	hash := mix(c.hash, block)
 	if !r.weighted {
-		return uniform
+		return float64(hash>>11) + 0.5
 	}
-	return -c.weight / math.Log(uniform)
+	return assigner.Weigh(hash, c.weight)
 }
 
 func (r *ranking) add(index int, score float64) {
