Stand-ins register, lapse, forget and speak the platform's dialect

A soak with real processes needs upstreams as the users' platform has them. The platform stand-in removes silent upstreams' entries, takes heartbeats that change the sequence alone for no change, and forgets its history on demand.

--- a/cmd/eelgrassbeam-standin/backend.go
+++ b/cmd/eelgrassbeam-standin/backend.go
@@ -2,8 +2,8 @@
 
 import (
 	"flag"
-	"net/http"
 	"os"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -13,7 +13,7 @@
 var backendCommand = command{
 	name:  "backend",
 	short: "Serve as one upstream that echoes requests and counts its runs.",
-	build: func(flags *flag.FlagSet) func() *http.Server {
+	build: func(flags *flag.FlagSet) func() service {
 		config := standin.BackendConfig{Clock: clockwork.NewRealClock()}
 		flags.Func("id", "`id` of the upstream", func(text string) error { return config.ID.UnmarshalText([]byte(text)) })
 		flags.Func("service", "`name` of the service", func(text string) error { return config.Service.UnmarshalText([]byte(text)) })
@@ -33,6 +33,20 @@
 			config.Journal = file
 			return err
 		})
-		return func() *http.Server { return standin.NewBackend(config).Server() }
+		entry := standin.RegistrarConfig{Clock: config.Clock}
+		flags.StringVar(&entry.Store, "register", "", "`url` of the platform's store to register in, empty for none")
+		flags.StringVar(&entry.Address, "advertise", "", "`ip:port` that the registration names")
+		flags.StringVar(&entry.Zone, "zone", "", "`zone` that the registration names")
+		flags.DurationVar(&entry.Heartbeat, "heartbeat", time.Second, "time between two writes of the registration")
+		flags.DurationVar(&entry.Drain, "drain", 3*time.Second, "time to serve on after the store knows that the backend leaves")
+		return func() service {
+			if entry.Store == "" {
+				return service{server: standin.NewBackend(config).Server()}
+			}
+			entry.ID, entry.Service, entry.Slots = config.ID, string(config.Service), config.Slots
+			registrar := standin.NewRegistrar(entry)
+			config.LeavingFor = registrar.LeavingFor
+			return service{server: standin.NewBackend(config).Server(), registrar: registrar}
+		}
 	},
 }
--- a/cmd/eelgrassbeam-standin/command.go
+++ b/cmd/eelgrassbeam-standin/command.go
@@ -8,6 +8,8 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
 // envPrefix begins the environment variable of each flag.
@@ -18,7 +20,13 @@
 	name  string
 	short string
 	// build defines flags and returns the maker of the server, called once the flags are parsed.
-	build func(*flag.FlagSet) func() *http.Server
+	build func(*flag.FlagSet) func() service
+}
+
+// service is a server and what keeps it known, nil for nothing. On a signal to stop the server serves on until that returns.
+type service struct {
+	server    *http.Server
+	registrar eelgrassbeam.Runner
 }
 
 // commands are all subcommands.
@@ -35,7 +43,7 @@
 func (c command) subcommand(log logrus.FieldLogger) *ffcli.Command {
 	flags := flag.NewFlagSet(c.name, flag.ContinueOnError)
 	address := flags.String("address", "127.0.0.1:0", "`ip:port` to listen on, port 0 for any")
-	server := c.build(flags)
+	build := c.build(flags)
 	return &ffcli.Command{
 		Name:       c.name,
 		ShortUsage: "eelgrassbeam-standin " + c.name + " [flags]",
@@ -43,7 +51,7 @@
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
-			return serve(ctx, *address, server(), log.WithField("command", c.name))
+			return serve(ctx, *address, build(), log.WithField("command", c.name))
 		},
 	}
 }
--- a/cmd/eelgrassbeam-standin/platform.go
+++ b/cmd/eelgrassbeam-standin/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"net/http"
 
 	"github.com/jonboulle/clockwork"
 
@@ -12,9 +11,10 @@
 var platformCommand = command{
 	name:  "platform",
 	short: "Serve the object API and the instance list from memory.",
-	build: func(flags *flag.FlagSet) func() *http.Server {
+	build: func(flags *flag.FlagSet) func() service {
 		config := standin.PlatformConfig{Clock: clockwork.NewRealClock()}
 		flags.IntVar(&config.History, "history", 0, "number of changes kept for watches, 0 for the default")
-		return func() *http.Server { return standin.NewPlatform(config).Server() }
+		flags.DurationVar(&config.Lapse, "lapse", 0, "silence after which an upstream's entry is removed, 0 for never")
+		return func() service { return service{server: standin.NewPlatform(config).Server()} }
 	},
 }
--- a/cmd/eelgrassbeam-standin/serve.go
+++ b/cmd/eelgrassbeam-standin/serve.go
@@ -15,7 +15,8 @@
 const stopTimeout = 10 * time.Second
 
 // serve serves until the context ends and then stops gracefully.
-func serve(ctx context.Context, address string, server *http.Server, log logrus.FieldLogger) error {
+func serve(ctx context.Context, address string, s service, log logrus.FieldLogger) error {
+	server := s.server
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
@@ -29,6 +30,11 @@
 		return nil
 	})
 	group.Go(func() error {
+		if s.registrar != nil {
+			if err := s.registrar.Run(ctx); err != nil {
+				return err
+			}
+		}
 		<-ctx.Done()
 		stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 		defer cancel()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -21,9 +21,6 @@
 	// minPause and maxPause bound the time between failed calls.
 	minPause = 100 * time.Millisecond
 	maxPause = 800 * time.Millisecond
-	// joinPause is the time between an event and the next watch, so that events that come close together share a call: small
-	// against the seconds within which a change has to be in force.
-	joinPause = 300 * time.Millisecond
 	// idlePause is the time between looks whether this entry has to watch.
 	idlePause = 400 * time.Millisecond
 	// peerPause is the time between looks whether peers have told their state.
@@ -36,6 +33,8 @@
 	Kind() string
 	// Revision is how far what is held has come, zero while nothing is held. Peers may have told it.
 	Revision() uint64
+	// JoinPause is the time between an event and the next watch, so that events that come close together share a call.
+	JoinPause() time.Duration
 	// Replace takes over a whole list.
 	Replace(list eelgrassbeam.ObjectList)
 	// Apply takes over changes, in their order.
@@ -147,7 +146,7 @@
 	}
 	if len(events.Events) > 0 {
 		sink.Apply(events)
-		f.pause(ctx, joinPause)
+		f.pause(ctx, sink.JoinPause())
 	}
 	return max(after, events.Revision), nil
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -58,8 +58,9 @@
 	j.told <- struct{}{}
 }
 
-func (*journal) Kind() string       { return "k" }
-func (j *journal) Revision() uint64 { return j.held.Load() }
+func (*journal) Kind() string             { return "k" }
+func (*journal) JoinPause() time.Duration { return 10 * time.Millisecond }
+func (j *journal) Revision() uint64       { return j.held.Load() }
 func (j *journal) Replace(list eelgrassbeam.ObjectList) {
 	j.held.Store(list.Revision)
 	j.note(fmt.Sprint("list ", list.Revision))
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -44,6 +44,8 @@
 	QueueWait time.Duration
 	// Journal gets one line a run, with the request's id and its idempotency key, nil for none.
 	Journal io.Writer
+	// LeavingFor returns how long the platform has known that the backend leaves, which the journal notes; nil for never.
+	LeavingFor func() time.Duration
 	// Seed seeds the service times.
 	Seed  uint64
 	Clock eelgrassbeam.Clock
@@ -99,7 +101,7 @@
 		born:            config.Clock.Now(),
 		mux:             http.NewServeMux(),
 		slots:           newSlots(config.Clock, config.Slots, config.QueueLimit, config.QueueWait),
-		ledger:          newLedger(config.Journal),
+		ledger:          newLedger(config.Journal, config.LeavingFor),
 		stop:            make(chan struct{}),
 		random:          rand.New(rand.NewPCG(config.Seed, config.Seed)),
 	}
--- a/standin/control.go
+++ b/standin/control.go
@@ -19,6 +19,7 @@
 		writeJSON(w, http.StatusOK, p.currentFaults())
 	})
 	p.mux.HandleFunc("PUT /control/faults", p.putFaults)
+	p.mux.HandleFunc("POST /control/forget", p.forget)
 	p.mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, p.Counts())
 	})
@@ -37,6 +38,15 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// forget drops the history, so that watches from before it have to list.
+func (p *Platform) forget(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	p.objects.forget()
+	p.wake()
+	p.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (p *Platform) putInstances(w http.ResponseWriter, r *http.Request) {
 	var list eelgrassbeam.InstanceList
 	if !readJSON(w, r, maxControlBodyBytes, &list) {
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"sync"
+	"time"
 )
 
 // BackendCounts is what a Backend has run and refused.
@@ -29,13 +30,18 @@
 type ledger struct {
 	// journal outlives the process; nil for none.
 	journal io.Writer
+	// leavingFor returns how long the platform has known that the backend leaves.
+	leavingFor func() time.Duration
 
 	mu     sync.Mutex
 	counts BackendCounts
 }
 
-func newLedger(journal io.Writer) *ledger {
-	return &ledger{journal: journal, counts: BackendCounts{Executions: make(map[string]int), Keys: make(map[string]int)}}
+func newLedger(journal io.Writer, leavingFor func() time.Duration) *ledger {
+	if leavingFor == nil {
+		leavingFor = func() time.Duration { return 0 }
+	}
+	return &ledger{journal: journal, leavingFor: leavingFor, counts: BackendCounts{Executions: make(map[string]int), Keys: make(map[string]int)}}
 }
 
 // run counts one execution; an error says that the journal does not hold it.
@@ -43,7 +49,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.journal != nil {
-		if _, err := fmt.Fprintf(l.journal, "%s\t%s\n", id, key); err != nil {
+		line := fmt.Sprintf("%s\t%s\n", id, key)
+		if leaving := l.leavingFor(); leaving > 0 {
+			line = fmt.Sprintf("%s\t%s\t%d\n", id, key, leaving.Milliseconds())
+		}
+		if _, err := io.WriteString(l.journal, line); err != nil {
 			return err
 		}
 	}
--- a/standin/object_handlers.go
+++ b/standin/object_handlers.go
@@ -91,6 +91,7 @@
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
+	p.sweep()
 	list := p.objects.list(r.PathValue("kind"))
 	p.mu.Unlock()
 	writeJSON(w, http.StatusOK, pageOf(list, r.URL.Query().Get("after")))
@@ -140,6 +141,7 @@
 	defer p.mu.Unlock()
 	object, err := change()
 	if err == nil {
+		p.noteWritten(object)
 		p.wake()
 	}
 	if p.faults.LoseAnswers > 0 {
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -51,15 +51,21 @@
 	return o.store(key, value), nil
 }
 
-// update returns errConflict with the current object if its version is another.
+// update returns errConflict with the current object if its version is another one than a given version. A write that changes nothing
+// leaves the version as it is.
 func (o *objects) update(key objectKey, version uint64, value []byte) (eelgrassbeam.Object, error) {
 	current, ok := o.rows[key]
 	if !ok {
 		return eelgrassbeam.Object{}, errNotFound
 	}
-	if current.Version != version {
+	if version != 0 && current.Version != version {
 		return current, errConflict
 	}
+	if isHeartbeat(key.kind, current.Value, value) {
+		current.Value = value
+		o.rows[key] = current
+		return current, nil
+	}
 	return o.store(key, value), nil
 }
 
@@ -93,6 +99,11 @@
 	return found, nil
 }
 
+// forget drops the history of changes; the objects stay.
+func (o *objects) forget() {
+	o.compacted, o.events = o.revision, nil
+}
+
 func (o *objects) store(key objectKey, value []byte) eelgrassbeam.Object {
 	o.revision++
 	object := eelgrassbeam.Object{Kind: key.kind, Name: key.name, Version: o.revision, Value: value}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
@@ -15,6 +16,8 @@
 	Clock eelgrassbeam.Clock
 	// History is the number of changes kept for watches, 0 for the default.
 	History int
+	// Lapse is the silence after which an upstream's entry is removed, 0 for never.
+	Lapse time.Duration
 }
 
 // PlatformFaults are the faults that a test sets on a Platform.
@@ -55,6 +58,7 @@
 	// mu guards all below.
 	mu        sync.Mutex
 	objects   *objects
+	lapses    lapses
 	instances *instances
 	faults    PlatformFaults
 	counts    PlatformCounts
@@ -73,6 +77,7 @@
 		mux:       http.NewServeMux(),
 		stop:      make(chan struct{}),
 		objects:   newObjects(history),
+		lapses:    lapses{after: config.Lapse, written: make(map[string]time.Time)},
 		instances: newInstances(),
 		changed:   make(chan struct{}),
 	}
--- a/standin/slots.go
+++ b/standin/slots.go
@@ -92,3 +92,10 @@
 	defer s.mu.Unlock()
 	return s.inProgress, s.maxInProgress
 }
+
+// load returns the work in progress and the work that waits.
+func (s *slots) load() (int, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inProgress, s.waiting
+}
--- a/standin/watch.go
+++ b/standin/watch.go
@@ -8,8 +8,12 @@
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
-// maxWatchWait bounds the wait of a watch.
-const maxWatchWait = time.Minute
+const (
+	// maxWatchWait bounds the wait of a watch.
+	maxWatchWait = time.Minute
+	// sweepInterval is the time between looks for entries that have lapsed, while a watch waits.
+	sweepInterval = 200 * time.Millisecond
+)
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
 	after, wait, err := watchArguments(r)
@@ -37,6 +41,7 @@
 		}
 		select {
 		case <-changed:
+		case <-p.nextSweep():
 		case <-timeout:
 			ended = true
 		case <-p.stop:
@@ -51,6 +56,9 @@
 func (p *Platform) changesAfter(kind string, after uint64) (eelgrassbeam.ObjectEvents, <-chan struct{}, PlatformFaults, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.sweep() {
+		p.wake()
+	}
 	changes, err := p.objects.changes(kind, after)
 	return changes, p.changed, p.faults, err
 }
--- a/standin/work.go
+++ b/standin/work.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam/platform"
 )
 
 // Headers of a backend's requests and answers.
@@ -58,6 +60,10 @@
 
 func (b *Backend) serveWork(w http.ResponseWriter, r *http.Request) {
 	b.mark(w, r)
+	if expected := r.Header.Get(platform.HeaderExpectInstance); expected != "" && expected != string(b.config.ID) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	faults := b.faults.current()
 	if faults.Freeze {
 		b.freeze(r)
@@ -92,6 +98,8 @@
 func (b *Backend) mark(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	w.Header().Set(HeaderBackend, string(b.config.ID))
+	running, waiting := b.slots.load()
+	w.Header().Set(platform.HeaderServerLoad, fmt.Sprintf("%d,%d,%d", running, waiting, b.config.Slots))
 }
 
 // run holds a slot for the work; an error says that the request has not run.
@@ -209,6 +217,7 @@
 func (b *Backend) shed(w http.ResponseWriter, status int, reason error) {
 	b.ledger.update(func(c *BackendCounts) { c.Shed++ })
 	w.Header().Set(HeaderShed, "true")
+	w.Header().Set(platform.HeaderNotExecuted, "1")
 	http.Error(w, reason.Error(), status)
 }
 
