--- a/test/link_test.go
+++ b/test/link_test.go
@@ -1,6 +1,8 @@
 package test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -74,6 +76,7 @@
 // link is a proxy before one address.
 type link struct {
 	name    string
+	listen  string
 	proxy   *toxiproxy.Proxy
 	freezer *freezer
 	slowed  bool
@@ -90,16 +93,20 @@
 }
 
 // add starts a link to the address.
-func (l *links) add(name, address string) (*link, error) {
+func (l *links) add(name, address string) (*link, error) { return l.addOn("127.0.0.1", name, address) }
+
+// addOn starts a link on an address of the host. One of its own keeps its port free while the link is cut.
+func (l *links) addOn(host, name, address string) (*link, error) {
 	added := &link{
 		name:    fmt.Sprintf("%p-%s", l, name),
 		freezer: &freezer{frozen: make(chan struct{})},
 	}
 	freezers.Store(added.name, added.freezer)
-	added.proxy = toxiproxy.NewProxy(l.server, added.name, "127.0.0.1:0", address)
+	added.proxy = toxiproxy.NewProxy(l.server, added.name, host+":0", address)
 	if err := added.proxy.Start(); err != nil {
 		return nil, err
 	}
+	added.listen = added.proxy.Listen
 	l.all = append(l.all, added)
 	for _, stream := range []string{"upstream", "downstream"} {
 		if err := added.toxic("freeze", stream, fmt.Sprintf(`{"link":%q}`, added.name)); err != nil {
@@ -117,11 +124,11 @@
 }
 
 // address returns the address to connect to.
-func (l *link) address() string { return l.proxy.Listen }
+func (l *link) address() string { return l.listen }
 
 // lead makes the link lead to another address.
 func (l *link) lead(address string) error {
-	return l.proxy.Update(&toxiproxy.Proxy{Listen: l.proxy.Listen, Upstream: address, Enabled: true})
+	return l.proxy.Update(&toxiproxy.Proxy{Listen: l.listen, Upstream: address, Enabled: true})
 }
 
 func (l *link) cut() error {
@@ -150,6 +157,22 @@
 	return nil
 }
 
+// disturb adds a toxic to the streams and returns what removes it. A timeout without an end holds data back, one of streams cuts one way.
+func (l *link) disturb(kind, attributes string, streams ...string) (func() error, error) {
+	for _, stream := range streams {
+		if err := l.toxic(kind, stream, attributes); err != nil {
+			return nil, err
+		}
+	}
+	return func() error {
+		var faults []error
+		for _, stream := range streams {
+			faults = append(faults, l.proxy.Toxics.RemoveToxic(context.Background(), kind+"_"+stream))
+		}
+		return errors.Join(faults...)
+	}, nil
+}
+
 func (l *link) toxic(kind, stream, attributes string) error {
 	text := fmt.Sprintf(`{"name":"%s_%s","type":%q,"stream":%q,"attributes":%s}`, kind, stream, kind, stream, attributes)
 	_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(text))
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -27,6 +28,8 @@
 	args   []string
 	env    []string
 	log    string
+	// ready is in the line that says that the process serves; event=listening where empty.
+	ready string
 
 	cmd *exec.Cmd
 	// exited is closed once the process has ended with err.
@@ -46,16 +49,20 @@
 	}
 	p.cmd = exec.Command(p.binary, p.args...)
 	p.cmd.Env = p.env
-	stderr, err := p.cmd.StderrPipe()
+	output, input, err := os.Pipe()
 	if err != nil {
-		return err
+		return errors.Join(err, file.Close())
 	}
+	p.cmd.Stdout, p.cmd.Stderr = input, input
 	if err := p.cmd.Start(); err != nil {
+		return errors.Join(err, input.Close(), output.Close(), file.Close())
+	}
+	if err := input.Close(); err != nil {
 		return err
 	}
 	p.exited = make(chan struct{})
 	listening := make(chan struct{})
-	p.group.Go(func() { p.read(stderr, file, listening) })
+	p.group.Go(func() { p.read(output, file, listening) })
 	select {
 	case <-listening:
 		return nil
@@ -68,12 +75,13 @@
 }
 
 // read copies the log and notes the addresses of the line that reports them.
-func (p *process) read(stderr io.Reader, file *os.File, listening chan<- struct{}) {
-	lines, heard := bufio.NewReader(stderr), false
+func (p *process) read(output io.ReadCloser, file *os.File, listening chan<- struct{}) {
+	lines, heard := bufio.NewReader(output), false
+	ready := cmp.Or(p.ready, "event=listening")
 	for {
 		line, err := lines.ReadString('\n')
 		_, _ = file.WriteString(line)
-		if !heard && strings.Contains(line, "event=listening") {
+		if !heard && strings.Contains(line, ready) {
 			heard = true
 			p.note(line)
 			close(listening)
@@ -82,7 +90,7 @@
 			break
 		}
 	}
-	p.err = errors.Join(p.cmd.Wait(), file.Close())
+	p.err = errors.Join(p.cmd.Wait(), output.Close(), file.Close())
 	close(p.exited)
 }
 
