--- a/test/call_test.go
+++ b/test/call_test.go
@@ -141,7 +141,8 @@
 		return incoming{}, err
 	}
 	if len(o.body) == 0 {
-		r.Body = http.NoBody
+		// The transport sends what has no body again by itself when a kept connection fails, but for a body that it can't read twice.
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(nil)), 0
 	}
 	r.GetBody = nil
 	r.Header = o.header
--- a/test/link_test.go
+++ b/test/link_test.go
@@ -1,11 +1,14 @@
 package test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
+	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/Shopify/toxiproxy/v2/toxics"
@@ -128,7 +131,19 @@
 
 // lead makes the link lead to another address.
 func (l *link) lead(address string) error {
-	return l.proxy.Update(&toxiproxy.Proxy{Listen: l.listen, Upstream: address, Enabled: true})
+	return l.relisten(func() error {
+		return l.proxy.Update(&toxiproxy.Proxy{Listen: l.listen, Upstream: address, Enabled: true})
+	})
+}
+
+// relisten repeats what opens the link's socket again for as long as the proxy's own goroutine may take to close it.
+func (l *link) relisten(open func() error) error {
+	var err error
+	_, late := poll(time.Second, func() (string, bool, error) {
+		err = open()
+		return "", !errors.Is(err, syscall.EADDRINUSE), err
+	})
+	return cmp.Or(late, err)
 }
 
 func (l *link) cut() error {
@@ -136,7 +151,7 @@
 	return nil
 }
 
-func (l *link) heal() error { return l.proxy.Start() }
+func (l *link) heal() error { return l.relisten(l.proxy.Start) }
 
 func (l *link) freeze() error {
 	l.freezer.freeze()
--- a/test/soak_callers_test.go
+++ b/test/soak_callers_test.go
@@ -20,6 +20,8 @@
 	soakAttempts = 2
 	// soakPatience is when a caller gives up, after the system should have.
 	soakPatience = 4 * time.Second
+	// soakIdle is how long callers keep idle connections.
+	soakIdle = 3 * time.Second
 	// lookupEvery is how long callers keep a look-up.
 	lookupEvery = time.Second
 	soakObjects = 20
@@ -52,7 +54,7 @@
 // run is one caller, which keeps its connections open.
 func (c *callers) run(ctx context.Context, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	transport := &http.Transport{MaxIdleConnsPerHost: 2}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: soakIdle}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: soakPatience}
 	var known []*soakEntry
--- a/test/soak_schedule_test.go
+++ b/test/soak_schedule_test.go
@@ -276,6 +276,13 @@
 
 func freezeLink(l *link, _ disturbance) error { return l.freeze() }
 
+// freezeFront lasts until callers have noticed and their idle connections are gone.
+func freezeFront(l *link, _ disturbance) error {
+	err := l.freeze()
+	<-time.After(soakPatience + soakIdle)
+	return err
+}
+
 func toxicLink(kind, attributes string, streams ...string) func(*link, disturbance) error {
 	return func(l *link, d disturbance) error {
 		end, err := l.disturb(kind, attributes, streams...)
