Log how old the beliefs were that decided a request

An engineer could see what an entry believed of an upstream's load and of the store, but not how old that was. The request's line has load_age_ms and view_age_ms now; TestSlotTellsTheAgeOfWhatDecided and TestLogTellsWhatDecided.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -163,3 +163,17 @@
 	is.Equal(answer.Code, http.StatusServiceUnavailable)
 	is.Equal(answer.Header().Get("Retry-After"), "0.30")
 }
+
+// An engineer who has only the log must see what an entry believed and how old that was.
+func TestLogTellsWhatDecided(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &script{steps: []step{answered}}, true)
+	log, hook := logrustest.NewNullLogger()
+	f.config.Log = log
+	is.Equal(call(f, "/get/").Code, http.StatusOK)
+	fields := hook.LastEntry().Data
+	for _, name := range []string{"request", "route", "configuration_version", "key", "upstream", "order", "load", "load_age_ms", "view_revision", "view_age_ms", "outcome", "status"} {
+		_, found := fields[name]
+		is.True(found) // the line has the field
+	}
+}
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -128,7 +128,8 @@
 	}
 	if fl.last != nil {
 		fields["upstream"], fields["order"] = fl.last.Upstream.ID, fl.last.Order
-		fields["load"], fields["view_revision"] = fl.last.Load, fl.last.ViewRevision
+		fields["load"], fields["load_age_ms"] = fl.last.Load, fl.last.ReportAge.Milliseconds()
+		fields["view_revision"], fields["view_age_ms"] = fl.last.ViewRevision, fl.last.ViewAge.Milliseconds()
 	}
 	if r.Context().Err() != nil {
 		fields["caller"] = "gone"
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -52,6 +52,7 @@
 
 	mu        sync.Mutex
 	view      *eelgrassbeam.View
+	viewSince time.Time
 	upstreams map[eelgrassbeam.UpstreamID]*state
 	services  map[eelgrassbeam.ServiceName]*service
 	durations map[string]time.Duration // by route name: time that an upstream takes
@@ -310,10 +311,14 @@
 	}
 	u.inFlight++
 	u.remember(objectOf(job), now)
-	return &Slot{
-		Upstream: u.upstream, Load: c.load, Order: c.order, ViewRevision: p.view.UpstreamsRevision,
+	slot := &Slot{
+		Upstream: u.upstream, Load: c.load, Order: c.order, ViewRevision: p.view.UpstreamsRevision, ViewAge: now.Sub(p.viewSince),
 		picker: p, state: u, service: s, job: job, since: now,
 	}
+	if !u.reportedAt.IsZero() {
+		slot.ReportAge = now.Sub(u.reportedAt)
+	}
+	return slot
 }
 
 // serveWaiting hands slots to waiting requests, the most urgent first. It needs p.mu.
@@ -356,7 +361,7 @@
 	if view == p.view {
 		return
 	}
-	p.view = view
+	p.view, p.viewSince = view, p.config.Clock.Now()
 	known := make(map[eelgrassbeam.UpstreamID]*state, len(view.Upstreams))
 	for _, s := range p.services {
 		s.upstreams = s.upstreams[:0]
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -199,3 +199,21 @@
 	is.Equal(r.perSecond(now.Add(-50*time.Millisecond)), 20.0)
 	is.Equal(r.perSecond(now.Add(2*time.Second)), 0.0)
 }
+
+func TestSlotTellsTheAgeOfWhatDecided(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 1, 1, 3)
+	s.view.Routing.Routes = append(s.view.Routing.Routes, *lookupRoute)
+	acquire := func() *Slot {
+		slot, err := s.pickers[0].Acquire(t.Context(), Job{Request: "r", Route: lookupRoute, Service: "s", Key: "k", StartBy: s.now.Add(time.Second)})
+		is.NoErr(err)
+		return slot
+	}
+	first := acquire()
+	is.Equal(first.ReportAge, time.Duration(0)) // nothing reported yet
+	first.Release(ResultAnswered, eelgrassbeam.SiteLoad{InProgress: 2, Slots: 3})
+	s.now = s.now.Add(300 * time.Millisecond)
+	second := acquire()
+	is.Equal(second.ReportAge, 300*time.Millisecond)
+	is.Equal(second.ViewAge, 300*time.Millisecond)
+}
--- a/picker/slot.go
+++ b/picker/slot.go
@@ -36,8 +36,11 @@
 	Order int
 	// Waited is how long the request waited for it.
 	Waited time.Duration
-	// ViewRevision is the store's revision of the view that it was chosen by.
+	// ReportAge is the age of the upstream's report of its load that Load rests on; zero for none.
+	ReportAge time.Duration
+	// ViewRevision is the store's revision of the view that it was chosen by, ViewAge the time since that view came.
 	ViewRevision uint64
+	ViewAge      time.Duration
 
 	picker  *Picker
 	state   *state
