--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -174,6 +174,8 @@
 	fields := hook.LastEntry().Data
 	for _, name := range []string{"request", "route", "configuration_version", "key", "upstream", "order", "load", "load_age_ms", "view_revision", "view_age_ms", "outcome", "status"} {
 		_, found := fields[name]
-		is.True(found) // the line has the field
+		if !found {
+			t.Errorf("the line lacks %s: %v", name, fields)
+		}
 	}
 }
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -127,6 +127,7 @@
 		fields["route"], fields["configuration_version"] = fl.route.Name, fl.routing.Version
 	}
 	if fl.last != nil {
+		fields["key"] = fl.key
 		fields["upstream"], fields["order"] = fl.last.Upstream.ID, fl.last.Order
 		fields["load"], fields["load_age_ms"] = fl.last.Load, fl.last.ReportAge.Milliseconds()
 		fields["view_revision"], fields["view_age_ms"] = fl.last.ViewRevision, fl.last.ViewAge.Milliseconds()
