Let the soak run entries without a guard

Each check of the soak has to be seen to fail with its guard off. The names of guards are read in one place now, for both ways to run; the platform's gets forwarder_resend, viewer_leaving, fronter_stop and upstream's three.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,7 +4,7 @@
 LDFLAGS := -X main.version=$(VERSION)
 export CGO_ENABLED := 1
 
-.PHONY: build demo test check capacity measure proofs generate
+.PHONY: build demo test soak check capacity measure proofs generate
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -18,6 +18,11 @@
 test:
 	$(GO) test -race -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
 
+# A soak plays fresh seeds, or the one that SEED names: make soak SEED=7, make soak SEEDS=50 PARALLEL=3.
+soak:
+	$(GO) test -race -count=1 -timeout 60m ./test -run 'TestSoak$$' -v -soak.length=12s -soak.parallel=$(or $(PARALLEL),2) \
+		-soak.seeds=$(or $(SEEDS),10) $(if $(SEED),-soak.seed=$(SEED)) $(if $(LOGS),-soak.keep=$(LOGS))
+
 capacity: build
 	bin/eelgrassbeam-survey
 
--- a/cmd/eelgrassbeamd/unguarded.go
+++ b/cmd/eelgrassbeamd/unguarded.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"os"
 
+	"github.com/eelgrassbeam/eelgrassbeam/fronter"
 	"github.com/eelgrassbeam/eelgrassbeam/steerer"
+	"github.com/eelgrassbeam/eelgrassbeam/unguarder"
 )
 
 func init() {
-	if err := steerer.CheckUnguarded(); err != nil {
+	if err := unguarder.Check(append(steerer.Guards(), fronter.Guards()...)); err != nil {
 		fmt.Fprintln(os.Stderr, "eelgrassbeamd:", err)
 		os.Exit(exitUsage)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,6 +65,8 @@
 // Forwarder is the http.Handler of callers' requests.
 type Forwarder struct {
 	config Config
+	// resendsUnknown takes every request for idempotent; tests only.
+	resendsUnknown bool
 
 	mu      sync.Mutex
 	routing *eelgrassbeam.Routing
@@ -122,7 +124,7 @@
 		}
 		fl.last, fl.waited = slot, fl.waited+slot.Waited
 		last = f.offer(ctx, fl, slot)
-		if !last.isRepeatable(fl.request.Idempotent) || ctx.Err() != nil {
+		if !last.isRepeatable(fl.request.Idempotent || f.resendsUnknown) || ctx.Err() != nil {
 			return last
 		}
 		f.logRepeat(fl, slot, last)
--- a/fronter/fronter.go
+++ b/fronter/fronter.go
@@ -84,6 +84,8 @@
 	log      logrus.FieldLogger
 	registry *prometheus.Registry
 	stopping atomic.Bool
+	// stopsAtOnce ends all connections at the signal to stop; tests only.
+	stopsAtOnce bool
 
 	store     *platform.Client
 	viewer    *viewer.Viewer
@@ -121,9 +123,15 @@
 	f.buildView()
 	f.buildRequests()
 	f.buildServers()
+	if unguard != nil {
+		unguard(f)
+	}
 	return f, nil
 }
 
+// unguard turns guards off in a build for tests.
+var unguard func(f *Fronter)
+
 func (f *Fronter) buildView() {
 	f.viewer = viewer.New(viewer.Config{Clock: f.config.Clock, Log: f.log, DecodeRouting: platform.DecodeRouting})
 	f.pool = peer.NewPool(peer.PoolConfig{Clock: f.config.Clock, Log: f.log})
--- a/fronter/run.go
+++ b/fronter/run.go
@@ -92,6 +92,9 @@
 				continue
 			}
 			f.log.WithFields(logrus.Fields{"event": "stopping", "signal": signal}).Info("")
+			if f.stopsAtOnce {
+				return nil
+			}
 			return f.stop(ctx)
 		}
 	}
--- a/steerer/unguarded.go
+++ b/steerer/unguarded.go
@@ -3,17 +3,11 @@
 package steerer
 
 import (
-	"errors"
-	"fmt"
-	"os"
-	"strings"
-)
-
-// UnguardedVariable is the environment variable that names the guards to turn off, separated by commas.
-const UnguardedVariable = "EELGRASSBEAM_UNGUARDED"
+	"maps"
+	"slices"
 
-// ErrGuard reports a name that is no guard's.
-var ErrGuard = errors.New("no such guard")
+	"github.com/eelgrassbeam/eelgrassbeam/unguarder"
+)
 
 // switches turn guards off by their names.
 var switches = map[string]func(s *Steerer){
@@ -28,30 +22,16 @@
 	"peer_ping":       func(s *Steerer) { s.pool.UnguardPing() },
 }
 
+// Guards returns the names of the guards that can be turned off.
+func Guards() []string { return slices.Sorted(maps.Keys(switches)) }
+
 func init() {
 	unguard = func(s *Steerer) {
-		for _, name := range unguarded() {
-			s.config.Log.WithField("event", "unguarded").WithField("guard", name).Warn("")
-			switches[name](s)
-		}
-	}
-}
-
-// unguarded returns the names of the guards to turn off.
-func unguarded() []string {
-	text := os.Getenv(UnguardedVariable)
-	if text == "" {
-		return nil
-	}
-	return strings.Split(text, ",")
-}
-
-// CheckUnguarded returns an error if the environment names an unknown guard.
-func CheckUnguarded() error {
-	for _, name := range unguarded() {
-		if _, ok := switches[name]; !ok {
-			return fmt.Errorf("%w: %q in %s", ErrGuard, name, UnguardedVariable)
+		for _, name := range unguarder.Names() {
+			if turnOff, ok := switches[name]; ok {
+				s.config.Log.WithField("event", "unguarded").WithField("guard", name).Warn("")
+				turnOff(s)
+			}
 		}
 	}
-	return nil
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -40,6 +40,7 @@
 	soakLength   = flag.Duration("soak.length", 8*time.Second, "how long disturbances come")
 	soakScale    = flag.Int("soak.scale", 1, "multiplies the 15 processes")
 	soakParallel = flag.Int("soak.parallel", 1, "seeds at once")
+	soakUnguard  = flag.String("soak.unguarded", "", "guards that the entries run without")
 	soakKeep     = flag.String("soak.keep", "", "directory that keeps the logs of failed seeds")
 )
 
--- a/test/soak_world_test.go
+++ b/test/soak_world_test.go
@@ -161,6 +161,12 @@
 		return err
 	}
 	e.process = f.process(e.name, "eelgrassbeamd", "-platform-settings")
+	if *soakUnguard != "" {
+		e.process.args = append(e.process.args, unguardedFlag, *soakUnguard)
+		if err := e.process.unguard(); err != nil {
+			return err
+		}
+	}
 	e.process.ready = "event=started"
 	e.process.env = append(e.process.env, "EELGRASSBEAM_NODE_FILE="+e.settings)
 	return nil
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -62,6 +62,8 @@
 	config  Config
 	view    atomic.Pointer[eelgrassbeam.View]
 	changed chan struct{}
+	// ignoresLeaving takes upstreams that leave for live ones; tests only.
+	ignoresLeaving bool
 
 	mu   sync.Mutex
 	rows map[eelgrassbeam.UpstreamID]row
@@ -230,6 +232,9 @@
 
 // put keeps the newest report of each upstream: the latest start first, then the highest sequence. It needs v.mu.
 func (v *Viewer) put(upstream eelgrassbeam.Upstream) {
+	if v.ignoresLeaving {
+		upstream.State = eelgrassbeam.InstanceLive
+	}
 	if upstream.Revision <= v.removed[upstream.ID].entry {
 		return
 	}
