--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -39,13 +39,26 @@
 	soakSeeds    = flag.Int("soak.seeds", 0, "play so many fresh seeds")
 	soakLength   = flag.Duration("soak.length", 8*time.Second, "how long disturbances come")
 	soakScale    = flag.Int("soak.scale", 1, "multiplies the 15 processes")
-	soakParallel = flag.Int("soak.parallel", 1, "seeds at once")
+	soakParallel = flag.Int("soak.parallel", 2, "seeds at once")
 	soakUnguard  = flag.String("soak.unguarded", "", "guards that the entries run without")
 	soakKeep     = flag.String("soak.keep", "", "directory that keeps the logs of failed seeds")
 )
 
-// soakRegressions are the seeds that CI plays: each that ever failed, with its cause in docs/SOAK.md, and some of all kinds.
-var soakRegressions = []uint64{1, 2}
+// soakCase is a schedule: the seed draws it over the length.
+type soakCase struct {
+	seed   uint64
+	length time.Duration
+}
+
+// soakRegressions are what CI plays: each seed that ever failed, with its cause in docs/SOAK.md, and two more.
+var soakRegressions = []soakCase{
+	{seed: 1, length: 8 * time.Second},
+	{seed: 2, length: 8 * time.Second},
+	{seed: 1796381179, length: 12 * time.Second},
+	{seed: 1796381198, length: 12 * time.Second},
+	{seed: 1796381503, length: 12 * time.Second},
+	{seed: 1796381518, length: 12 * time.Second},
+}
 
 // soak is one run.
 type soak struct {
@@ -59,39 +72,39 @@
 }
 
 func TestSoak(t *testing.T) {
-	seeds := soakRegressions
+	cases := soakRegressions
 	switch {
 	case *soakSeed > 0:
-		seeds = []uint64{*soakSeed}
+		cases = []soakCase{{seed: *soakSeed, length: *soakLength}}
 	case *soakSeeds > 0:
-		seeds = nil
+		cases = nil
 		first := uint64(time.Now().Unix())
 		for i := range *soakSeeds {
-			seeds = append(seeds, first+uint64(i))
+			cases = append(cases, soakCase{seed: first + uint64(i), length: *soakLength})
 		}
 	}
 	slots := make(chan struct{}, *soakParallel)
 	var group errgroup.Group
-	for _, seed := range seeds {
+	for _, c := range cases {
 		slots <- struct{}{}
 		group.Go(func() error {
 			defer func() { <-slots }()
-			t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { playSoak(t, seed) })
+			t.Run(fmt.Sprint("seed=", c.seed), func(t *testing.T) { playSoak(t, c) })
 			return nil
 		})
 	}
 	_ = group.Wait()
 }
 
-func playSoak(t *testing.T, seed uint64) {
-	s := &soak{t: t, length: *soakLength, fleet: newFleet(t, *soakScale)}
+func playSoak(t *testing.T, c soakCase) {
+	s := &soak{t: t, length: c.length, fleet: newFleet(t, *soakScale)}
 	t.Cleanup(s.keep)
 	s.callers = &callers{fleet: s.fleet}
-	schedule := plan(seed, s.length)
+	schedule := plan(c.seed, c.length)
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("play again: go test -race ./test -run 'TestSoak$' -soak.seed=%d -soak.length=%s -soak.scale=%d\n%s",
-				seed, s.length, *soakScale, planText(schedule))
+				c.seed, c.length, *soakScale, planText(schedule))
 		}
 	})
 	if err := s.awaitService(); err != nil {
@@ -102,7 +115,7 @@
 	var load errgroup.Group
 	for i := range soakCallers * *soakScale {
 		load.Go(func() error {
-			s.callers.run(ctx, seed*1000+uint64(i))
+			s.callers.run(ctx, c.seed*1000+uint64(i))
 			return nil
 		})
 	}
