--- a/GNUmakefile
+++ b/GNUmakefile
@@ -16,7 +16,7 @@
 KNOWN_RED := $(shell awk '{gsub("/", "$$/^", $$1); print "^" $$1 "$$"}' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
 test:
-	$(GO) test -race -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
+	$(GO) test -race -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
 
 # A soak plays fresh seeds, or the one that SEED names: make soak SEED=7, make soak SEEDS=50 PARALLEL=3.
 soak:
