Score a look-up's entries once each

The comparison hashed both entries anew each time: of little weight in a zone of nine, not of 140. The constant for unknown capacity stands with the others. Behaviour as before.

--- a/fronter/directory.go
+++ b/fronter/directory.go
@@ -18,6 +18,8 @@
 	unequalAddresses = 3
 	// equalCapacity is how many times the least capacity the greatest may be among entries that count as equal.
 	equalCapacity = 1.5
+	// minCapacity stands for the capacity of an entry that doesn't tell it, in cores.
+	minCapacity = 0.1
 	// megabitsPerCore is the traffic of requests that keep one core busy, in Mbit/s: 2 ms and 10 kB each, measured on
 	// sencnik-rez-grown. A link below that binds before the processor does.
 	megabitsPerCore = 50
@@ -62,11 +64,7 @@
 		limit = unequalAddresses
 	}
 	if len(entries) > limit {
-		score := func(e eelgrassbeam.Entry) float64 {
-			return assigner.Weigh(assigner.Score(caller, e.ID), max(e.Capacity, minCapacity))
-		}
-		slices.SortFunc(entries, func(a, b eelgrassbeam.Entry) int { return cmp.Compare(score(b), score(a)) })
-		entries = entries[:limit]
+		entries = best(entries, caller, limit)
 	}
 	addresses := make([]netip.AddrPort, len(entries))
 	for i, entry := range entries {
@@ -75,8 +73,15 @@
 	return addresses
 }
 
-// minCapacity stands for the capacity of an entry that doesn't tell it, in cores.
-const minCapacity = 0.1
+// best returns the caller's first entries by weighted rendezvous hashing.
+func best(entries []eelgrassbeam.Entry, caller string, limit int) []eelgrassbeam.Entry {
+	scores := make(map[eelgrassbeam.EntryID]float64, len(entries))
+	for _, entry := range entries {
+		scores[entry.ID] = assigner.Weigh(assigner.Score(caller, entry.ID), max(entry.Capacity, minCapacity))
+	}
+	slices.SortFunc(entries, func(a, b eelgrassbeam.Entry) int { return cmp.Compare(scores[b.ID], scores[a.ID]) })
+	return entries[:limit]
+}
 
 func areEqual(entries []eelgrassbeam.Entry) bool {
 	least, greatest := entries[0].Capacity, entries[0].Capacity
