Cancel requests whose caller leaves after its last request

After the last request of a connection discardInput copied the input and cancelled only on an error; io.Copy returns nil at the end of the input, so a caller that closed in an orderly way was not noticed, and its requests ran on or waited on for an upstream.

The same was found where the server reads no further request: while a non-idempotent request waits for earlier responses, and while maxPending requests are unanswered, not even a reset was noticed. Admission now reads ahead while it waits, as far as the buffer allows, and is woken by the next response.

A half-close counts as a disconnect, as it does for net/http's server and did here between requests.

--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -43,8 +43,10 @@
 	// unanswered counts the requests read but not yet answered.
 	unanswered int
 	// closing is set when no further requests are accepted.
-	closing     bool
-	allAnswered chan struct{} // receives a value when unanswered falls to zero
+	closing bool
+	// awaitsAnswer is set while admit reads ahead until a request is answered.
+	awaitsAnswer bool
+	answered     chan struct{} // receives a value when a request is answered
 }
 
 // exchange is a request and its response; request is nil if it could not be read.
@@ -56,7 +58,7 @@
 }
 
 func newConnection(ctx context.Context, r *Server, conn net.Conn) *connection {
-	c := &connection{server: r, conn: conn, pending: make(chan *exchange, maxPending), allAnswered: make(chan struct{}, 1)}
+	c := &connection{server: r, conn: conn, pending: make(chan *exchange, maxPending), answered: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.limited = &limitedReader{conn: conn}
 	c.reader = bufio.NewReaderSize(c.limited, readBufferBytes)
@@ -113,34 +115,54 @@
 }
 
 // admit sets isLast, waits until the request may be handled and counts it as unanswered. A request that may not run
-// concurrently with others waits until all earlier ones are answered. It returns false if the connection is closing or
-// its context is cancelled.
+// concurrently with others waits until all earlier ones are answered; any request waits while maxPending are
+// unanswered. It returns false if the connection is closing or the caller has disconnected.
 func (c *connection) admit(x *exchange) bool {
 	if x.request != nil {
 		x.isLast = x.isLast || x.request.Close || !x.request.ProtoAtLeast(1, 1) || c.server.draining.Load()
 	}
-	allowConcurrent := x.request == nil || c.server.config.AllowConcurrent(x.request)
+	maxUnanswered := maxPending - 1
+	if x.request != nil && !c.server.config.AllowConcurrent(x.request) {
+		maxUnanswered = 0
+	}
 	for {
 		c.mu.Lock()
 		if c.closing {
 			c.mu.Unlock()
 			return false
 		}
-		if allowConcurrent || c.unanswered == 0 {
+		if c.unanswered <= maxUnanswered {
 			c.unanswered++
 			c.closing = x.isLast
 			c.mu.Unlock()
 			return true
 		}
+		c.awaitsAnswer = true
+		_ = c.conn.SetReadDeadline(time.Time{})
 		c.mu.Unlock()
-		select {
-		case <-c.allAnswered:
-		case <-c.ctx.Done():
+		if !c.awaitAnswer() {
+			c.cancel()
 			return false
 		}
 	}
 }
 
+// awaitAnswer returns true when a request has been answered. Until then it reads ahead, as far as the buffer allows, to
+// detect a disconnect, on which it returns false. The caller must have set awaitsAnswer.
+func (c *connection) awaitAnswer() bool {
+	for c.reader.Buffered() < c.reader.Size() {
+		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
+			return isTimeout(err) // markAnswered has expired the read deadline
+		}
+	}
+	select {
+	case <-c.answered:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
 // readRequest reads a request with its body. If it fails, the request is nil and the status is the one to answer
 // with, or 0 if the caller has disconnected or was idle for too long.
 func (c *connection) readRequest() (*http.Request, int) {
@@ -217,11 +239,11 @@
 	return true
 }
 
-// discardInput reads and discards input after the last request, to detect a disconnect and to consume late requests. An
-// error other than a timeout cancels the requests in progress.
+// discardInput reads and discards input after the last request, to detect a disconnect and to consume late requests. The
+// end of the input, or an error other than a timeout, cancels the requests in progress.
 func (c *connection) discardInput() {
 	c.setReadDeadline(0)
-	if _, err := io.Copy(io.Discard, c.reader); err != nil && !isTimeout(err) {
+	if _, err := io.Copy(io.Discard, c.reader); !isTimeout(err) {
 		c.cancel()
 	}
 }
@@ -255,14 +277,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered--
-	if c.unanswered > 0 {
-		return false
+	if c.awaitsAnswer {
+		c.awaitsAnswer = false
+		_ = c.conn.SetReadDeadline(c.server.config.Clock.Now())
 	}
 	select {
-	case c.allAnswered <- struct{}{}:
+	case c.answered <- struct{}{}:
 	default:
 	}
-	return c.closing
+	return c.closing && c.unanswered == 0
 }
 
 // halfClose closes the sending side and stops reading after lingerTimeout.
--- a/httpserver/httpserver_test.go
+++ b/httpserver/httpserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -97,6 +98,14 @@
 		requireResponse(t, reader, http.StatusOK, "/1 ")
 		requireResponse(t, reader, http.StatusOK, "/2 ")
 	})
+	t.Run("more requests than may be pending", func(t *testing.T) {
+		s := newTestServer(t, echo, Limits{})
+		const count = 3 * maxPending
+		_, reader := s.open(t, strings.Repeat(get("/n"), count))
+		for range count {
+			requireResponse(t, reader, http.StatusOK, "/n ")
+		}
+	})
 	t.Run("a non-idempotent request waits for earlier responses", func(t *testing.T) {
 		var running, maxRunning atomic.Int32
 		overlapped := make(chan struct{})
@@ -119,7 +128,40 @@
 	})
 }
 
+// TestCallerDisconnects covers each state in which the server reads no further request, so that only a watch on the
+// connection shows that the caller has left. Work for a caller that has left is wasted.
 func TestCallerDisconnects(t *testing.T) {
+	post := "POST /2 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n\r\nx"
+	for name, test := range map[string]struct {
+		text  string
+		drain bool
+	}{
+		"one more request is buffered":               {text: get("/1") + get("/2")},
+		"Connection: close":                          {text: "GET /1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n"},
+		"HTTP/1.0":                                   {text: "GET /1 HTTP/1.0\r\nHost: a.example\r\n\r\n"},
+		"the server is draining":                     {text: get("/1"), drain: true},
+		"an invalid request follows":                 {text: get("/1") + "hello\r\n\r\n"},
+		"a non-idempotent request waits":             {text: get("/1") + post},
+		"a non-idempotent request waits, one behind": {text: get("/1") + post + get("/3")},
+		"as many requests as may be pending":         {text: get("/1") + strings.Repeat(get("/2"), maxPending+2)},
+	} {
+		for kind, disconnect := range map[string]func(*net.TCPConn) error{
+			"closed":      (*net.TCPConn).Close,
+			"half-closed": (*net.TCPConn).CloseWrite,
+			"reset": func(conn *net.TCPConn) error {
+				return errors.Join(conn.SetLinger(0), conn.Close())
+			},
+		} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				requireCancelled(t, test.text, test.drain, disconnect)
+			})
+		}
+	}
+}
+
+// requireCancelled sends the text, disconnects while request /1 is handled and requires that its context is cancelled.
+func requireCancelled(t *testing.T, text string, drain bool, disconnect func(*net.TCPConn) error) {
+	t.Helper()
 	started, ended := make(chan struct{}), make(chan struct{})
 	s := newTestServer(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/1" {
@@ -128,10 +170,14 @@
 			close(ended)
 		}
 	}, Limits{})
-	// A second request that is buffered behind the first must not prevent the detection of the disconnect.
-	conn, _ := s.open(t, get("/1")+get("/2"))
+	if drain {
+		s.server.Drain()
+	}
+	conn, _ := s.open(t, text)
 	<-started
-	is.New(t).NoErr(conn.Close())
+	tcp, ok := conn.(*net.TCPConn)
+	is.New(t).True(ok)
+	is.New(t).NoErr(disconnect(tcp))
 	select {
 	case <-ended:
 	case <-time.After(testTimeout):
