Build the list of entries once for all upstreams in slow start

The list is now read once in coldEntryTTL for all upstreams, and an upstream's sharers are computed anew only when the list changed. TestJoiningUpstreamsShareOneListOfEntries plays the load without a network; it failed before.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -57,6 +57,10 @@
 	services     map[eelgrassbeam.ServiceName]*service
 	serviceTimes map[string]time.Duration // mean service time by route name
 	scratch      []candidate              // buffer reused by each selection
+	// entries are the live entries as of entriesAt; entriesVersion increases when they change.
+	entries        []eelgrassbeam.EntryID
+	entriesAt      time.Time
+	entriesVersion uint64
 }
 
 // service holds the upstreams of one service and its queue of waiting requests.
@@ -402,20 +406,35 @@
 // during slow start. The cold rate is divided among them, so that the total stays within it without coordination
 // per request.
 func (p *Picker) sharesColdRate(u *state, now time.Time) bool {
-	if now.Sub(u.sharesColdRateAt) < coldEntryTTL && !u.sharesColdRateAt.IsZero() {
+	p.refreshEntries(now)
+	if u.coldEntriesVersion == p.entriesVersion {
 		return u.sharesColdRate
 	}
 	position, upstream := 0, string(u.upstream.ID)
 	ownScore := assigner.RendezvousScore(upstream, p.config.Self.ID)
-	for _, id := range p.config.Entries() {
+	for _, id := range p.entries {
 		if id != p.config.Self.ID && assigner.RendezvousScore(upstream, id) > ownScore {
 			position++
 		}
 	}
-	u.sharesColdRate, u.sharesColdRateAt = position < coldEntryCount, now
+	u.sharesColdRate, u.coldEntriesVersion = position < coldEntryCount, p.entriesVersion
 	return u.sharesColdRate
 }
 
+// refreshEntries reads the live entries unless they were read within coldEntryTTL. The list is shared by all upstreams
+// in slow start, since building it for each of them would take most of a small instance's processor time.
+func (p *Picker) refreshEntries(now time.Time) {
+	if p.entriesVersion > 0 && now.Sub(p.entriesAt) < coldEntryTTL {
+		return
+	}
+	entries := p.config.Entries()
+	if p.entriesVersion == 0 || !slices.Equal(entries, p.entries) {
+		p.entries = entries
+		p.entriesVersion++
+	}
+	p.entriesAt = now
+}
+
 func (p *Picker) coldRate(u *state) float64 {
 	if p.view.Routing == nil {
 		return 0
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -220,3 +220,35 @@
 	is.Equal(second.ReportAge, 300*time.Millisecond)
 	is.Equal(second.ViewAge, 300*time.Millisecond)
 }
+
+// Guards against the entries' processors being saturated while hundreds of empty upstreams join a large fleet: for each
+// upstream in slow start, every entry determined from the list of all entries whether it shares the cold rate, and the
+// list was built anew each time. Answers then took seconds.
+func TestJoiningUpstreamsShareOneListOfEntries(t *testing.T) {
+	const entryCount, upstreamCount, coldCount = 300, 600, 200
+	is := is.New(t)
+	s := newSimulation(t, 1, upstreamCount, 3)
+	joining := append([]eelgrassbeam.Upstream{}, s.view.Upstreams...)
+	for i := range coldCount {
+		joining[i].ColdUntil = s.now.Add(10 * time.Second)
+	}
+	s.view = s.view.WithUpstreams(joining, 2)
+	s.view.Routing.Routes = []eelgrassbeam.PathRoute{*lookupRoute}
+	lists, ids := 0, make([]eelgrassbeam.EntryID, entryCount)
+	for i := range ids {
+		ids[i] = eelgrassbeam.EntryID(fmt.Sprintf("e%03d", i))
+	}
+	p := s.pickers[0]
+	p.config.Entries = func() []eelgrassbeam.EntryID {
+		lists++
+		return ids
+	}
+	const duration, interval = 2 * time.Second, 50 * time.Millisecond
+	for range duration / interval {
+		slot, err := p.Acquire(t.Context(), Job{Request: "r", Route: lookupRoute, Service: "s", Key: "k", StartBy: s.now.Add(time.Second)})
+		is.NoErr(err)
+		slot.Release(ResultAnswered, eelgrassbeam.SiteLoad{})
+		s.now = s.now.Add(interval)
+	}
+	is.True(lists <= int(duration/coldEntryTTL)) // one list per coldEntryTTL, whatever the number of cold upstreams
+}
--- a/picker/state.go
+++ b/picker/state.go
@@ -58,8 +58,8 @@
 	minCompletionRate = 3.0
 	// coldEntryCount is the number of entries that share the request rate of an upstream in slow start.
 	coldEntryCount = 2
-	// coldEntryTTL is how long the selection of those entries is cached: short compared with the seconds that the
-	// detection of a lost entry takes.
+	// coldEntryTTL is how long the list of entries from which those are selected is cached: short compared with the
+	// seconds that the detection of a lost entry takes.
 	coldEntryTTL = 200 * time.Millisecond
 	// maxCachedOrders bounds the keys whose rendezvous order is cached per service.
 	maxCachedOrders = 2048
@@ -87,10 +87,10 @@
 	localColdUntil time.Time
 	coldTokenCount float64
 	coldTokensAt   time.Time
-	// sharesColdRate caches the result of Picker.sharesColdRate as of sharesColdRateAt.
-	sharesColdRate   bool
-	sharesColdRateAt time.Time
-	cachedObjects    map[uint64]time.Time
+	// sharesColdRate caches the result of Picker.sharesColdRate for the entries of version coldEntriesVersion.
+	sharesColdRate     bool
+	coldEntriesVersion uint64
+	cachedObjects      map[uint64]time.Time
 }
 
 func newState(upstream eelgrassbeam.Upstream) *state {
