Let only watchers use the directory, and one entry a zone watch in large fleets

Each of 295 entries registered itself, listed the entries in pages of 50 at full price at its start and again every 15 s; two entries a zone watched three kinds each; and at the first start most entries listed all 1,215 upstreams themselves, since two watchers a zone can't send 195 kB to 33 others over 20 Mbit/s before those gave up waiting at 1.5 s.

- Only watchers, and entries that know no other, register and list.
At start gossip settles for 2 s first, or for 1 s without an answer.
- In fleets of more than 20 members one entry a zone watches; what a silent one misses other zones show within a second or two.
- Full states, and digests between zones, are compressed.
An entry without state pulls it at once, from a ready member of its zone instead of a seed.
First rounds come 100 ms apart until a member is known.
Entries that don't watch wait up to 4 s for the first state.
- The number of live entries, asked for each request, is counted without building the list.

--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -61,10 +61,10 @@
 	peerWait = 300 * time.Millisecond
 	// bootstrapPeerWait replaces peerWait when the whole fleet starts, so that entries first discover the others of
 	// their zone.
-	bootstrapPeerWait = 1200 * time.Millisecond
+	bootstrapPeerWait = 2 * time.Second
 	// nonWatcherPeerWait is the minimum time for which an entry whose zone has other watchers waits at start for state
-	// from peers: three gossip rounds.
-	nonWatcherPeerWait = 1500 * time.Millisecond
+	// from peers: as long as a watcher takes to list thousands of upstreams and to push them to its zone.
+	nonWatcherPeerWait = 4 * time.Second
 	// retryBurst is the maximum number of unused retries that the retry budget accumulates per service.
 	retryBurst = 3
 )
@@ -173,7 +173,7 @@
 	s.forwarder = forwarder.New(forwarder.Config{
 		Self: s.self, Clock: s.config.Clock, Log: s.log, Views: s.viewer, Picker: s.picker, Exchanger: s.upstreams,
 		Budget:  retrylimiter.New(retrylimiter.Config{Registerer: s.registry, Burst: retryBurst}),
-		Metrics: forwarder.NewMetrics(s.registry), Entries: func() int { return len(s.gossiper.LiveIDs()) },
+		Metrics: forwarder.NewMetrics(s.registry), Entries: s.gossiper.LiveCount,
 		AffinityHeader: platform.HeaderAffinityKey, ResponseGrace: responseGrace,
 	})
 }
--- a/gossiper/discover.go
+++ b/gossiper/discover.go
@@ -2,43 +2,87 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
-// discover registers this entry in the store and periodically reads the store for unknown entries.
+// discover registers this entry in the store and periodically reads the store for unknown entries. In each zone only
+// the watchers do so, since they tell the others; and so does an entry that knows no other.
 func (g *Gossiper) discover(ctx context.Context) error {
+	g.awaitMembers(ctx)
 	registered := false
+	var listedAt time.Time
 	for ctx.Err() == nil {
-		if !registered {
-			err := g.config.Directory.Register(ctx, g.config.Self)
-			registered = err == nil
-			if err != nil {
-				g.config.Log.WithFields(logrus.Fields{"event": "register_failed", "error": err}).Warn("")
+		now := g.config.Clock.Now()
+		isIsolated := len(g.Members()) == 1
+		if isIsolated || g.IsWatcher() {
+			if !registered {
+				registered = g.registerSelf(ctx)
+			}
+			if isIsolated || listedAt.IsZero() || now.Sub(listedAt) >= discoveryInterval {
+				g.readDirectory(ctx, isIsolated)
+				listedAt = now
 			}
 		}
-		// An entry that knows others learns of new ones through gossip sooner, so a stale list suffices.
-		list := g.config.Directory.ListStale
-		if len(g.Members()) == 1 {
-			list = g.config.Directory.List
-		}
-		entries, err := list(ctx)
-		if err != nil {
-			g.config.Log.WithFields(logrus.Fields{"event": "discover_failed", "error": err}).Warn("")
+		select {
+		case <-ctx.Done():
+		case <-g.config.Clock.After(discoveryPollInterval):
 		}
-		g.addDiscovered(entries)
-		interval := discoveryInterval
-		if !registered || len(g.Members()) == 1 {
-			interval = isolatedDiscoveryInterval
+	}
+	return nil
+}
+
+// awaitMembers waits until gossip has shown which members of this zone are watchers, or that no seed answers.
+func (g *Gossiper) awaitMembers(ctx context.Context) {
+	started := g.config.Clock.Now()
+	for ctx.Err() == nil {
+		waited := g.config.Clock.Now().Sub(started)
+		if waited >= settleTime || waited >= seedTimeout && len(g.Members()) == 1 || !g.hasSeeds() && len(g.Members()) == 1 {
+			return
 		}
 		select {
 		case <-ctx.Done():
-		case <-g.config.Clock.After(interval):
+		case <-g.config.Clock.After(memberPollInterval):
 		}
 	}
-	return nil
+}
+
+// hasSeeds reports whether the settings name an entry other than this one.
+func (g *Gossiper) hasSeeds() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, seed := range g.seeds {
+		if seed != g.config.Self.PeerAddress {
+			return true
+		}
+	}
+	return false
+}
+
+// registerSelf writes this entry's addresses to the store and reports whether it succeeded.
+func (g *Gossiper) registerSelf(ctx context.Context) bool {
+	err := g.config.Directory.Register(ctx, g.config.Self)
+	if err != nil {
+		g.config.Log.WithFields(logrus.Fields{"event": "register_failed", "error": err}).Warn("")
+	}
+	return err == nil
+}
+
+// readDirectory reads the entries in the store. An isolated entry needs the current ones; others learn of new entries
+// through gossip sooner, so a stale list suffices.
+func (g *Gossiper) readDirectory(ctx context.Context, isIsolated bool) {
+	list := g.config.Directory.ListStale
+	if isIsolated {
+		list = g.config.Directory.List
+	}
+	entries, err := list(ctx)
+	if err != nil {
+		g.config.Log.WithFields(logrus.Fields{"event": "discover_failed", "error": err}).Warn("")
+	}
+	g.addDiscovered(entries)
 }
 
 // addDiscovered adds unknown entries from the store as failed members, which gossip rounds try to reach.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -21,6 +21,9 @@
 	// roundInterval is the time between gossip rounds. Each round contacts one peer of the same availability zone,
 	// and some rounds also one of any zone.
 	roundInterval = 500 * time.Millisecond
+	// startRoundInterval replaces roundInterval until the first member is known: entries that start at the same moment
+	// refuse each other's first calls.
+	startRoundInterval = 100 * time.Millisecond
 	// minCrossZonePeriod is the minimum period, in rounds, of exchanges with a peer of any zone. In larger fleets the
 	// period is one round per membersPerCrossZoneRound members, so that cross-zone traffic grows linearly with the
 	// fleet.
@@ -32,10 +35,12 @@
 	// members, whose heartbeats arrive less often.
 	crossZoneFailureTimeout = 6 * time.Second
 	smallFleetSize          = 20
-	// watchersPerZone is the number of entries per zone that watch the store and push changes to the others.
-	watchersPerZone = 2
+	// smallFleetWatchersPerZone is watchersPerZone in a fleet of at most smallFleetSize members.
+	smallFleetWatchersPerZone = 2
 	// pushDelay is the delay before a push, which coalesces a burst of changes.
 	pushDelay = 20 * time.Millisecond
+	// minCompressedUpstreams is the number of upstreams from which a push is compressed.
+	minCompressedUpstreams = 16
 	// callTimeout bounds one call. It is below failureTimeout, so that one dead peer doesn't make others seem failed.
 	callTimeout = 800 * time.Millisecond
 	// failedRetention is how long a member is kept after its last heartbeat.
@@ -43,10 +48,18 @@
 	// pullDelay is the delay before state is pulled from a peer with a later revision. The store or a push usually
 	// delivers the state first.
 	pullDelay = 500 * time.Millisecond
-	// discoveryInterval is the time between reads of the store for unknown entries.
+	// discoveryInterval is the time between a watcher's reads of the store for unknown entries.
 	discoveryInterval = 15 * time.Second
-	// isolatedDiscoveryInterval is discoveryInterval while this entry is unregistered or knows no other entry.
-	isolatedDiscoveryInterval = time.Second
+	// discoveryPollInterval is the time between checks whether this entry has to call the store, and between the calls
+	// of an entry that is unregistered or knows no other entry.
+	discoveryPollInterval = time.Second
+	// seedTimeout is how long an entry waits at start for a seed to answer before it looks for others in the store.
+	seedTimeout = time.Second
+	// settleTime is how long after its start an entry counts on knowing which members of its zone are watchers: four
+	// rounds.
+	settleTime = 2 * time.Second
+	// memberPollInterval is the time between checks for members at start.
+	memberPollInterval = 100 * time.Millisecond
 )
 
 // Member is an entry's own description of itself.
@@ -201,7 +214,7 @@
 	members := []Member{g.self}
 	now := g.config.Clock.Now()
 	for _, r := range g.records {
-		if !r.failed && now.Sub(r.lastHeard) < g.failureTimeoutOf(r) {
+		if g.isLive(r, now) {
 			members = append(members, r.member)
 		}
 	}
@@ -220,6 +233,28 @@
 	return ids
 }
 
+// LiveCount returns the number of IDs that LiveIDs would return.
+func (g *Gossiper) LiveCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 0
+	if g.self.Entry.State == eelgrassbeam.InstanceLive {
+		count++
+	}
+	now := g.config.Clock.Now()
+	for _, r := range g.records {
+		if g.isLive(r, now) && r.member.Entry.State == eelgrassbeam.InstanceLive {
+			count++
+		}
+	}
+	return count
+}
+
+// isLive reports whether the member has been heard within its failure timeout. The caller must hold g.mu.
+func (g *Gossiper) isLive(r *record, now time.Time) bool {
+	return !r.failed && now.Sub(r.lastHeard) < g.failureTimeoutOf(r)
+}
+
 // Run gossips until ctx is done.
 func (g *Gossiper) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -228,7 +263,7 @@
 	group.Go(func() error { return g.catchUp(ctx) })
 	group.Go(func() error {
 		for {
-			next := g.config.Clock.After(roundInterval)
+			next := g.config.Clock.After(g.nextRoundDelay())
 			g.round(ctx)
 			select {
 			case <-ctx.Done():
@@ -240,6 +275,14 @@
 	return group.Wait()
 }
 
+// nextRoundDelay returns roundInterval, or startRoundInterval while this entry knows no other and has seeds to ask.
+func (g *Gossiper) nextRoundDelay() time.Duration {
+	if len(g.Members()) == 1 && g.hasSeeds() {
+		return startRoundInterval
+	}
+	return roundInterval
+}
+
 // detectFailures marks members as failed or recovered and deletes those that have been silent for failedRetention.
 func (g *Gossiper) detectFailures() {
 	g.mu.Lock()
--- a/gossiper/pull.go
+++ b/gossiper/pull.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// catchUp pulls more recent state from peers: the routing at once, other state after pullDelay unless it has
-// arrived by then. Pulled state is pushed to the entries of this zone, because the zone's watchers have evidently not
+// catchUp pulls more recent state from peers: the routing, or all state if this entry has none, at once; other state
+// after pullDelay unless it has arrived by then. Pulled state is pushed to the entries of this zone, because the zone's watchers have evidently not
 // received it.
 func (g *Gossiper) catchUp(ctx context.Context) error {
 	var pending pullTarget
@@ -39,8 +39,9 @@
 		case <-ctx.Done():
 			return nil
 		case target := <-g.pullTargets:
-			if target.revisions.Routing > g.config.Replica.Revisions().Routing {
-				g.pull(ctx, target.address)
+			local := g.config.Replica.Revisions()
+			if target.revisions.Routing > local.Routing || local.Upstreams == 0 {
+				g.pull(ctx, g.pullAddress(target, local))
 			} else if timer == nil {
 				pending, timer = target, g.config.Clock.After(pullDelay)
 			}
@@ -53,6 +54,23 @@
 	}
 }
 
+// pullAddress returns the address from which to pull the target's state. An entry that has no state yet prefers a random
+// ready member of its zone: after a restart of many entries, the few seeds could not send the full state to all of them.
+func (g *Gossiper) pullAddress(target pullTarget, local Revisions) netip.AddrPort {
+	if local.Upstreams > 0 {
+		return target.address
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var ready []netip.AddrPort
+	for _, r := range g.records {
+		if !r.failed && r.member.IsReady && r.member.Entry.Zone == g.config.Self.Zone {
+			ready = append(ready, r.member.Entry.PeerAddress)
+		}
+	}
+	return append(randomOf(ready), target.address)[0]
+}
+
 func (g *Gossiper) pull(ctx context.Context, address netip.AddrPort) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -62,7 +80,7 @@
 		return
 	}
 	before := g.config.Replica.Revisions()
-	state, err := peer.Call[State](callCtx, conn, Service, methodPull, &before)
+	state, err := peer.Call[State](callCtx, conn, Service, methodPull, &before, peer.Compressed())
 	if err != nil {
 		if callCtx.Err() != nil {
 			g.config.Pool.Evict(address, conn)
--- a/gossiper/pull_test.go
+++ b/gossiper/pull_test.go
@@ -60,7 +60,7 @@
 	clock   *clockwork.FakeClock
 }
 
-func newTestEntry(t *testing.T, id eelgrassbeam.EntryID, zone eelgrassbeam.ZoneID, revisions Revisions) *testEntry {
+func newTestEntry(t testing.TB, id eelgrassbeam.EntryID, zone eelgrassbeam.ZoneID, revisions Revisions) *testEntry {
 	t.Helper()
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
@@ -160,6 +160,21 @@
 		behind.advancePullDelay(t)
 		behind.requireRevisions(t, newer)
 	})
+	t.Run("an entry without state pulls all parts at once", func(t *testing.T) {
+		ahead, empty := newTestEntry(t, "a", "z1", newer), newTestEntry(t, "b", "z2", Revisions{Routing: newer.Routing})
+		empty.requestPull(ahead.address(), newer)
+		empty.requireRevisions(t, newer)
+	})
+	t.Run("an entry without state asks a ready member of its zone instead of the seed", func(t *testing.T) {
+		is := is.New(t)
+		seed, neighbour, empty := newTestEntry(t, "a", "z1", newer), newTestEntry(t, "b", "z2", newer), newTestEntry(t, "c", "z2", Revisions{})
+		neighbour.self.IsReady = true
+		joinAll(seed, neighbour, empty)
+		empty.requestPull(seed.address(), newer)
+		empty.requireRevisions(t, newer)
+		is.Equal(seed.replica.stateCallCount(), 0)
+		is.Equal(neighbour.replica.stateCallCount(), 1)
+	})
 	t.Run("pulled state is pushed to the zone", func(t *testing.T) {
 		ahead, behind, third := newTestEntry(t, "a", "z1", newer), newTestEntry(t, "b", "z2", older), newTestEntry(t, "c", "z2", older)
 		joinAll(ahead, behind, third)
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -6,11 +6,22 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
 
+// watchersPerZone returns the number of entries per zone that watch the store and push changes to the others. In a
+// large fleet one is enough: other zones show what a silent watcher misses within a second or two, several times a
+// second. The caller must hold g.mu.
+func (g *Gossiper) watchersPerZone() int {
+	if len(g.records) >= smallFleetSize {
+		return 1
+	}
+	return smallFleetWatchersPerZone
+}
+
 // IsWatcher reports whether this entry watches the store: fewer than watchersPerZone other members of its zone that are
 // live, reach the store and aren't leaving precede it by ID. Its own state is not taken into account.
 func (g *Gossiper) IsWatcher() bool {
@@ -24,7 +35,7 @@
 			before++
 		}
 	}
-	return before < watchersPerZone
+	return before < g.watchersPerZone()
 }
 
 // NotifyChange triggers a push of the replica's changes to the entries of this zone that don't watch the store.
@@ -75,7 +86,10 @@
 // watchers.
 func (g *Gossiper) laggingZoneMembers() []pushTarget {
 	zone := g.zoneMembers()
-	if len(zone) <= watchersPerZone {
+	g.mu.Lock()
+	watchers := g.watchersPerZone()
+	g.mu.Unlock()
+	if len(zone) <= watchers {
 		return nil
 	}
 	return g.lagging(zone)
@@ -113,7 +127,11 @@
 		return
 	}
 	state := g.config.Replica.State(target.revisions)
-	revisions, err := peer.Call[Revisions](ctx, conn, Service, methodPush, &state)
+	var options []grpc.CallOption
+	if len(state.Upstreams) >= minCompressedUpstreams {
+		options = append(options, peer.Compressed())
+	}
+	revisions, err := peer.Call[Revisions](ctx, conn, Service, methodPush, &state, options...)
 	if err != nil {
 		// The member detects its lag and pulls the state after its next exchange.
 		g.config.Log.WithFields(logrus.Fields{"event": "push_failed", "peer": target.id, "error": err}).Info("")
--- a/gossiper/round.go
+++ b/gossiper/round.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
@@ -97,7 +98,19 @@
 	return []netip.AddrPort{addresses[rand.IntN(len(addresses))]}
 }
 
-// exchange exchanges digests with one peer and merges the response.
+// isInZone reports whether the address is that of a member of this zone.
+func (g *Gossiper) isInZone(address netip.AddrPort) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.records {
+		if r.member.Entry.PeerAddress == address {
+			return r.member.Entry.Zone == g.config.Self.Zone
+		}
+	}
+	return false
+}
+
+// exchange exchanges digests with one peer and merges the response. Between zones the messages are compressed.
 func (g *Gossiper) exchange(ctx context.Context, address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -105,7 +118,11 @@
 	if err != nil {
 		return
 	}
-	response, err := peer.Call[digest](ctx, conn, Service, methodExchange, g.digest())
+	var options []grpc.CallOption
+	if !g.isInZone(address) {
+		options = append(options, peer.Compressed())
+	}
+	response, err := peer.Call[digest](ctx, conn, Service, methodExchange, g.digest(), options...)
 	if err != nil {
 		// The connection may be half-open. Whether the member has failed is decided by its heartbeats alone.
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
