Watch the store with two entries a zone in fleets of any size again

The store turns half of the entries away from 16 s on; the evacuation at 18.0 s reached all entries of four zones 2.2 to 2.5 s late, since their only watcher was turned away and its successors too.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -35,8 +35,9 @@
 	// members, whose heartbeats arrive less often.
 	crossZoneFailureTimeout = 6 * time.Second
 	smallFleetSize          = 20
-	// smallFleetWatchersPerZone is watchersPerZone in a fleet of at most smallFleetSize members.
-	smallFleetWatchersPerZone = 2
+	// watchersPerZone is the number of entries per zone that watch the store and push changes to the others. With one, a
+	// zone whose watcher is turned away by the store learns of an evacuation up to 2.5 s late.
+	watchersPerZone = 2
 	// pushDelay is the delay before a push, which coalesces a burst of changes.
 	pushDelay = 20 * time.Millisecond
 	// minCompressedUpstreams is the number of upstreams from which a push is compressed.
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -12,16 +12,6 @@
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
 
-// watchersPerZone returns the number of entries per zone that watch the store and push changes to the others. In a
-// large fleet one is enough: other zones show what a silent watcher misses within a second or two, several times a
-// second. The caller must hold g.mu.
-func (g *Gossiper) watchersPerZone() int {
-	if len(g.records) >= smallFleetSize {
-		return 1
-	}
-	return smallFleetWatchersPerZone
-}
-
 // IsWatcher reports whether this entry watches the store: fewer than watchersPerZone other members of its zone that are
 // live, reach the store and aren't leaving precede it by ID. Its own state is not taken into account.
 func (g *Gossiper) IsWatcher() bool {
@@ -35,7 +25,7 @@
 			before++
 		}
 	}
-	return before < g.watchersPerZone()
+	return before < watchersPerZone
 }
 
 // NotifyChange triggers a push of the replica's changes to the entries of this zone that don't watch the store.
@@ -86,10 +76,7 @@
 // watchers.
 func (g *Gossiper) laggingZoneMembers() []pushTarget {
 	zone := g.zoneMembers()
-	g.mu.Lock()
-	watchers := g.watchersPerZone()
-	g.mu.Unlock()
-	if len(zone) <= watchers {
+	if len(zone) <= watchersPerZone {
 		return nil
 	}
 	return g.lagging(zone)
