Count failures towards an ejection only from exchanges that began after the last one

Cause: when 200 exchanges with an upstream fail at one moment, each further pair of failures doubled its ejection, up to 4 s and a slow start after it. In TestEndlessResponses the service was refused 2 s after the fault had ended, with both of its backends ejected.

Exchanges from before the latest ejection fail for the same cause and no longer count. TestExchangesInProgressDoNotProlongEjection failed before.

--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -252,3 +252,26 @@
 	}
 	is.True(lists <= int(duration/coldEntryTTL)) // one list per coldEntryTTL, whatever the number of cold upstreams
 }
+
+// Guards against one moment of trouble ejecting an upstream for the maximum time: all exchanges in progress fail together,
+// and each further pair of failures doubled the ejection.
+func TestExchangesInProgressDoNotProlongEjection(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 1, 1, 20)
+	s.view.Routing.Routes = []eelgrassbeam.PathRoute{*lookupRoute}
+	p := s.pickers[0]
+	job := Job{Route: lookupRoute, Service: "s", Key: "1", StartBy: s.now.Add(time.Second)}
+	p.Refresh()
+	var inProgress []*Slot
+	for range 4 * ejectionThreshold {
+		slot, err := p.tryAcquire(p.service("s"), job, s.now)
+		is.NoErr(err)
+		inProgress = append(inProgress, slot)
+	}
+	for _, slot := range inProgress {
+		s.now = s.now.Add(time.Millisecond)
+		slot.Release(ResultConnectionFailed, eelgrassbeam.SiteLoad{})
+	}
+	s.now = s.now.Add(baseEjectionTime)
+	is.Equal(len(candidateIDs(p, job)), 1) // ejected once, for the shortest time
+}
--- a/picker/slot.go
+++ b/picker/slot.go
@@ -100,7 +100,7 @@
 		return
 	}
 	settings := s.picker.view.Routing.Services[s.job.Service]
-	if s.state.recordFailure(now, settings.ColdStart) {
+	if s.state.recordFailure(s.acquiredAt, now, settings.ColdStart) {
 		s.picker.config.Log.WithFields(logrus.Fields{
 			"event": "upstream_ejected", "upstream": s.Upstream.ID, "result": result, "until_ms": s.state.ejectedUntil.Sub(now).Milliseconds(),
 			"request": s.job.Request,
--- a/picker/state.go
+++ b/picker/state.go
@@ -82,6 +82,7 @@
 	serviceTime   time.Duration // mean
 	failures      int
 	ejections     int
+	ejectedAt     time.Time
 	ejectedUntil  time.Time
 	// localColdUntil is the end of the slow start that this entry applies after an ejection.
 	localColdUntil time.Time
@@ -153,13 +154,18 @@
 	u.cachedObjects[object] = now
 }
 
-// recordFailure records a failed exchange and reports whether it ejects the upstream.
-func (u *state) recordFailure(now time.Time, coldStart time.Duration) bool {
+// recordFailure records a failed exchange and reports whether it ejects the upstream. Exchanges from before the latest
+// ejection don't count, since they failed for the same cause.
+func (u *state) recordFailure(acquiredAt, now time.Time, coldStart time.Duration) bool {
+	if acquiredAt.Before(u.ejectedAt) {
+		return false
+	}
 	u.failures++
 	if u.failures < ejectionThreshold {
 		return false
 	}
 	u.failures = 0
+	u.ejectedAt = now
 	u.ejectedUntil = now.Add(min(baseEjectionTime<<u.ejections, maxEjectionTime))
 	u.ejections = min(u.ejections+1, 4) // maxEjectionTime applies from 3 on; the limit prevents an overflow of the shift
 	u.localColdUntil = u.ejectedUntil.Add(coldStart)
