Bound the bytes of buffered bodies by the instance's memory

Cause: each body was held whole, up to 64 MB, with no bound over all requests.

- bufferlimiter holds one budget of a quarter of the memory on x/sync/semaphore: half for requests' bodies and the first 64 KiB of each response, of which less urgent requests may use three quarters; half for larger responses, of which one service may use half.
- A request without space is refused before it is sent (503, no_buffer, Retry-After).
A response on its way waits for space until the deadline.
Space is returned when the response has been written.
- httpserver stops at the configured body limit instead of 64 MB, bounds the time for a body, answers 431 for an endless request line, and uses its defaults for limits that a configuration leaves out.
- The stand-in's backend sends headers, chunks, bodies and trickles without end; the soak draws them from a stream of its own, so that earlier seeds keep their disruptions.

--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/bufferlimiter"
 	"github.com/eelgrassbeam/eelgrassbeam/forwarder"
 	"github.com/eelgrassbeam/eelgrassbeam/gossiper"
 	"github.com/eelgrassbeam/eelgrassbeam/httpserver"
@@ -39,6 +40,11 @@
 	settingsPollInterval = 2 * time.Second
 	// memoryLimitRatio is the Go runtime's soft memory limit as a fraction of the instance's memory.
 	memoryLimitRatio = 0.7
+	// bufferRatio is the budget for buffered bodies as a fraction of the instance's memory. While a body is handed on,
+	// two copies of it exist.
+	bufferRatio = 0.25
+	// defaultMemoryBytes is the memory assumed if the settings name none.
+	defaultMemoryBytes = 512 << 20
 	// storeTimeout bounds one call to the store. It is many times the usual response time and below the time by
 	// which a change has to take effect.
 	storeTimeout = 1 * time.Second
@@ -173,6 +179,7 @@
 	s.forwarder = forwarder.New(forwarder.Config{
 		Self: s.self, Clock: s.config.Clock, Log: s.log, Views: s.viewer, Picker: s.picker, Exchanger: s.upstreams,
 		Budget:  retrylimiter.New(retrylimiter.Config{Registerer: s.registry, Burst: retryBurst}),
+		Buffers: bufferlimiter.New(bufferlimiter.Config{Bytes: bufferBytes(s.config.Settings), Registerer: s.registry}),
 		Metrics: forwarder.NewMetrics(s.registry), Entries: s.gossiper.LiveCount,
 		AffinityHeader: platform.HeaderAffinityKey, ResponseGrace: responseGrace,
 	})
@@ -181,6 +188,7 @@
 func (s *Server) buildServers() {
 	s.callerServer = httpserver.New(httpserver.Config{
 		Clock: s.config.Clock, Handler: s.forwarder, Limits: s.limits, AllowConcurrent: s.forwarder.IsSafeToRetry,
+		ReserveBody: s.forwarder.ReserveBody,
 	})
 	s.peerServer = peer.NewServer(nil)
 	peer.RegisterPing(s.peerServer)
@@ -196,15 +204,34 @@
 	}
 }
 
-// limits returns the caller limits of the current configuration, or defaults if it sets none.
+// limits returns the caller limits of the current configuration, or the default of each that it doesn't set.
 func (s *Server) limits() httpserver.Limits {
+	limits := httpserver.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	routing := s.viewer.View().Routing
-	if routing == nil || routing.Limits.IdleTimeout == 0 {
-		return httpserver.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	if routing == nil {
+		return limits
 	}
-	return httpserver.Limits{
-		HeaderBytes: routing.Limits.HeaderBytes, HeaderTimeout: routing.Limits.HeaderTimeout, IdleTimeout: routing.Limits.IdleTimeout,
+	configured := routing.Limits
+	limits.BodyBytes = configured.BodyBytes
+	if configured.HeaderBytes > 0 {
+		limits.HeaderBytes = configured.HeaderBytes
 	}
+	if configured.HeaderTimeout > 0 {
+		limits.HeaderTimeout = configured.HeaderTimeout
+	}
+	if configured.IdleTimeout > 0 {
+		limits.IdleTimeout = configured.IdleTimeout
+	}
+	return limits
+}
+
+// bufferBytes returns the budget for buffered bodies.
+func bufferBytes(settings platform.Settings) int64 {
+	memory := settings.MemoryBytes
+	if memory == 0 {
+		memory = defaultMemoryBytes
+	}
+	return int64(float64(memory) * bufferRatio)
 }
 
 // isReady reports whether this entry accepts callers' requests.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/bufferlimiter"
 	"github.com/eelgrassbeam/eelgrassbeam/matcher"
 	"github.com/eelgrassbeam/eelgrassbeam/picker"
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
@@ -26,6 +27,9 @@
 	minTimeLeft = 50 * time.Millisecond
 	// notReadyRetryAfter is the Retry-After of an entry that has not loaded the routes yet.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// noBufferRetryAfter is the Retry-After of an entry whose buffers are full. Those are free after the longest usual
+	// timeout of a route at the latest.
+	noBufferRetryAfter = time.Second
 	// retryShare is the share of first attempts that may be retried. It is half of the retry ratio
 	// (budget_ratio in the terms of the settings) that applies to all entries together, because each entry and each
 	// time window rounds up.
@@ -48,6 +52,13 @@
 	AllowRetry(service eelgrassbeam.ServiceName, share float64) bool
 }
 
+// Buffers limits the bytes of buffered bodies.
+type Buffers interface {
+	ReserveRequest(bytes int64, isUrgent bool) (release func(), err error)
+	ReserveResponse(ctx context.Context, service eelgrassbeam.ServiceName, bytes int64) (release func(), err error)
+	MaxResponseBytes() int64
+}
+
 // Config configures a Forwarder.
 type Config struct {
 	Self      eelgrassbeam.Entry
@@ -57,6 +68,7 @@
 	Picker    *picker.Picker
 	Exchanger Exchanger
 	Budget    Budget
+	Buffers   Buffers
 	Metrics   *Metrics
 	// Entries returns the number of live entries.
 	Entries func() int
@@ -101,11 +113,28 @@
 	sent     int
 	waited   time.Duration
 	lastSlot *picker.Slot
+	// releases return the buffer space of the request and its response.
+	releases []func()
+}
+
+// release returns the buffer space of the call.
+func (c *call) release() {
+	for _, release := range c.releases {
+		release()
+	}
 }
 
 // ServeHTTP forwards the request and answers the caller. It implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, rejection := f.read(w, r)
+	if notifier, ok := w.(writeNotifier); ok {
+		notifier.AfterWrite(c.release)
+	} else {
+		defer c.release()
+	}
+	if rejection == nil {
+		rejection = f.reserveResponse(c)
+	}
 	if rejection != nil {
 		f.complete(w, r, c, *rejection)
 		return
@@ -113,6 +142,31 @@
 	f.complete(w, r, c, f.forward(r.Context(), c))
 }
 
+// writeNotifier is an http.ResponseWriter that buffers the response and reports when it has been written.
+type writeNotifier interface{ AfterWrite(do func()) }
+
+// ReserveBody reserves buffer space for a part of the request's body, in bytes.
+func (f *Forwarder) ReserveBody(r *http.Request, bytes int64) (release func(), err error) {
+	route, _, _ := f.route(hostWithoutPort(r), r.URL.Path)
+	return f.config.Buffers.ReserveRequest(bytes, route != nil && isUrgent(route))
+}
+
+// reserveResponse reserves buffer space for the first part of the response. A request without space is rejected before
+// it is sent to an upstream.
+func (f *Forwarder) reserveResponse(c *call) *outcome {
+	release, err := f.config.Buffers.ReserveRequest(bufferlimiter.ResponseReserve, isUrgent(c.route))
+	if err != nil {
+		rejection := f.reject(c, eelgrassbeam.ReasonNoBuffer, http.StatusServiceUnavailable)
+		rejection.retryAfter = noBufferRetryAfter
+		return rejection
+	}
+	c.releases = append(c.releases, release)
+	return nil
+}
+
+// isUrgent reports whether the route is of the most urgent rank.
+func isUrgent(route *eelgrassbeam.PathRoute) bool { return route.Priority == 0 }
+
 // forward sends the request to one upstream after another until one has answered it or no further attempt is allowed.
 func (f *Forwarder) forward(ctx context.Context, c *call) outcome {
 	f.config.Budget.RecordFirstAttempt(c.request.Service, retryShare)
@@ -182,7 +236,17 @@
 	defer cancel()
 	c.tried = append(c.tried, slot.Upstream.ID)
 	settings := c.routing.Services[c.request.Service]
-	limits := upstream.Limits{BodyBytes: maxResponseBytes, ProgressTimeout: progressTimeout, Connections: f.connectionLimit(settings)}
+	limits := upstream.Limits{
+		BodyBytes: min(maxResponseBytes, f.config.Buffers.MaxResponseBytes()), ProgressTimeout: progressTimeout,
+		Connections: f.connectionLimit(settings), ReservedBytes: bufferlimiter.ResponseReserve,
+		Reserve: func(ctx context.Context, bytes int64) error {
+			release, err := f.config.Buffers.ReserveResponse(ctx, c.request.Service, bytes)
+			if err == nil {
+				c.releases = append(c.releases, release)
+			}
+			return err
+		},
+	}
 	reply, err := f.config.Exchanger.Exchange(ctx, slot.Upstream, c.request, limits)
 	last := classify(ctx, reply, err)
 	if last.wasSent {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 	logrustest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/bufferlimiter"
 	"github.com/eelgrassbeam/eelgrassbeam/picker"
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
 )
@@ -46,6 +47,9 @@
 	return reply, s.steps[at].err
 }
 
+// testBufferBytes is the buffer budget of the forwarders under test.
+const testBufferBytes = 1 << 20
+
 type fixedBudget struct{ allowed bool }
 
 func (fixedBudget) RecordFirstAttempt(eelgrassbeam.ServiceName, float64) {}
@@ -85,6 +89,7 @@
 	return New(Config{
 		Clock: clock, Log: log, Views: views, Exchanger: s, Budget: fixedBudget{hasBudget}, Metrics: NewMetrics(prometheus.NewRegistry()),
 		Entries: func() int { return 1 }, AffinityHeader: "X-Key",
+		Buffers: bufferlimiter.New(bufferlimiter.Config{Bytes: testBufferBytes, Registerer: prometheus.NewRegistry()}),
 		Picker: picker.New(picker.Config{Clock: clock, Log: log, Views: views, Entries: func() []eelgrassbeam.EntryID { return []eelgrassbeam.EntryID{""} }}),
 	})
 }
@@ -179,3 +184,56 @@
 		}
 	}
 }
+
+// Guards against requests that are sent to an upstream although the entry has no memory left for their responses.
+func TestNoBufferSpace(t *testing.T) {
+	is := is.New(t)
+	s := &scriptedExchanger{steps: []step{answered}}
+	f := newForwarder(t, s, true)
+	var releases []func()
+	for {
+		release, err := f.config.Buffers.ReserveRequest(bufferlimiter.ResponseReserve, true)
+		if err != nil {
+			break
+		}
+		releases = append(releases, release)
+	}
+	response := send(f, "/post/")
+	is.Equal(response.Code, http.StatusServiceUnavailable)
+	is.True(response.Header().Get("Retry-After") != "")
+	is.Equal(len(s.targets), 0)
+	for _, release := range releases {
+		release()
+	}
+	for range 2 * testBufferBytes / bufferlimiter.ResponseReserve { // the space is returned after each request
+		is.Equal(send(f, "/post/").Code, http.StatusOK)
+	}
+}
+
+// Guards against an upstream that sends its response too slowly being selected again and again.
+func TestClassifyIncompleteResponse(t *testing.T) {
+	expired, cancelExpired := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
+	defer cancelExpired()
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	unknown := eelgrassbeam.Reply{Outcome: eelgrassbeam.OutcomeUnknown}
+	for name, test := range map[string]struct {
+		ctx    context.Context
+		err    error
+		result picker.Result
+		status int
+	}{
+		"incomplete at the deadline":      {expired, upstream.ErrTruncated, picker.ResultConnectionFailed, http.StatusGatewayTimeout},
+		"no response at the deadline":     {expired, upstream.ErrConnectionFailed, picker.ResultAbandoned, http.StatusGatewayTimeout},
+		"no buffer space at the deadline": {expired, upstream.ErrNoBuffer, picker.ResultAbandoned, http.StatusGatewayTimeout},
+		"the caller has left":             {left, upstream.ErrTruncated, picker.ResultAbandoned, http.StatusGatewayTimeout},
+		"too large":                       {t.Context(), upstream.ErrTooLarge, picker.ResultConnectionFailed, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := classify(test.ctx, unknown, test.err)
+			is.Equal(o.result, test.result)
+			is.Equal(o.statusCode(), test.status)
+		})
+	}
+}
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -41,7 +41,10 @@
 		o.result = picker.ResultServerError
 	case err == nil:
 		o.result = picker.ResultAnswered
-	case ctx.Err() != nil:
+	case errors.Is(err, upstream.ErrTruncated) && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		// The upstream began a response and did not complete it in time.
+		o.result, o.status = picker.ResultConnectionFailed, http.StatusGatewayTimeout
+	case errors.Is(err, upstream.ErrNoBuffer), ctx.Err() != nil:
 		o.result = picker.ResultAbandoned
 		o.wasSent = reply.Outcome != eelgrassbeam.OutcomeNotRun
 	default:
--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -21,12 +22,16 @@
 const (
 	readBufferBytes  = 8 << 10
 	writeBufferBytes = 8 << 10
-	// maxBodyBytes bounds a body, which is buffered before the handler is called; the handler's own limit is
-	// usually lower.
+	// maxBodyBytes bounds a body, which is buffered before the handler is called, if Limits sets no lower limit.
 	maxBodyBytes = 64 << 20
+	// minBodyBufferBytes is the first size of the buffer for a body of unknown length.
+	minBodyBufferBytes = 4 << 10
 )
 
-var errHeaderTooLarge = errors.New("request header exceeds the size limit")
+var (
+	errHeaderTooLarge = errors.New("request header exceeds the size limit")
+	errNoBuffer       = errors.New("no buffer space for the request body")
+)
 
 // connection is a caller's connection. One goroutine reads requests, one writes responses in order, and each request is
 // handled in a goroutine of its own.
@@ -84,17 +89,23 @@
 // read reads requests and starts their handlers until the caller disconnects or the last request is read.
 func (c *connection) read(handlers *errgroup.Group) {
 	for {
-		request, status := c.readRequest()
+		response := newResponseBuffer()
+		request, status := c.readRequest(response)
 		if request == nil && status == 0 {
+			response.written()
 			c.cancel() // the caller has disconnected or was idle for too long
 			return
 		}
-		x := &exchange{request: request, response: newResponseBuffer(), done: make(chan struct{}), isLast: status != 0}
+		x := &exchange{request: request, response: response, done: make(chan struct{}), isLast: status != 0}
 		if !c.admit(x) {
+			response.written()
 			c.discardInput()
 			return
 		}
 		if status != 0 {
+			if status == http.StatusServiceUnavailable {
+				x.response.Header().Set("Retry-After", noBufferRetryAfter)
+			}
 			x.response.WriteHeader(status)
 			close(x.done)
 			c.pending <- x
@@ -164,8 +175,9 @@
 }
 
 // readRequest reads a request with its body. If it fails, the request is nil and the status is the one to answer
-// with, or 0 if the caller has disconnected or was idle for too long.
-func (c *connection) readRequest() (*http.Request, int) {
+// with, or 0 if the caller has disconnected or was idle for too long. The buffer space of the body is reserved until the
+// response is written.
+func (c *connection) readRequest(response *responseBuffer) (*http.Request, int) {
 	limits := c.server.config.Limits()
 	c.limited.setLimit(math.MaxInt64)
 	c.setReadDeadline(limits.IdleTimeout)
@@ -177,9 +189,11 @@
 	}
 	c.setReadDeadline(limits.HeaderTimeout)
 	request, err := http.ReadRequest(c.reader)
+	// An incomplete request line hides the error of the reader.
+	isTooLarge := err != nil && c.limited.isExhausted()
 	c.limited.setLimit(math.MaxInt64)
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
+	case isTooLarge:
 		return nil, http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, http.StatusRequestTimeout
@@ -188,34 +202,87 @@
 	case err != nil || !isValid(request):
 		return nil, http.StatusBadRequest
 	}
-	return c.readBody(request)
+	return c.readBody(request, response, limits.BodyBytes)
 }
 
 // readBody reads the body into memory, so that the next request can be read while this one is handled. Its results
 // are those of readRequest.
-func (c *connection) readBody(request *http.Request) (*http.Request, int) {
-	c.setReadDeadline(0)
+func (c *connection) readBody(request *http.Request, response *responseBuffer, limit int64) (*http.Request, int) {
+	c.setReadDeadline(bodyTimeout)
 	if request.Body == nil || request.Body == http.NoBody {
 		return request.WithContext(c.ctx), 0
 	}
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	if request.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge
+	}
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, 0
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxBodyBytes+1))
+	body, err := c.bufferBody(request, response, limit)
 	switch {
+	case errors.Is(err, errNoBuffer):
+		return nil, http.StatusServiceUnavailable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout
 	case err != nil && isDisconnected(err):
 		return nil, 0
 	case err != nil:
 		return nil, http.StatusBadRequest
-	case len(body) > maxBodyBytes:
+	case int64(len(body)) > limit:
 		return nil, http.StatusRequestEntityTooLarge
 	}
 	request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	return request.WithContext(c.ctx), 0
 }
 
+// bufferBody reads at most one byte more than the limit. Space is reserved before it is used: at once for a body of known
+// length, else as the body grows.
+func (c *connection) bufferBody(request *http.Request, response *responseBuffer, limit int64) ([]byte, error) {
+	capacity := request.ContentLength + 1
+	if request.ContentLength < 0 {
+		capacity = min(minBodyBufferBytes, limit+1)
+	}
+	var body []byte
+	for {
+		if err := c.reserve(request, response, capacity-int64(cap(body))); err != nil {
+			return nil, err
+		}
+		body = append(make([]byte, 0, capacity), body...)
+		for len(body) < cap(body) {
+			n, err := request.Body.Read(body[len(body):cap(body)])
+			body = body[:len(body)+n]
+			if errors.Is(err, io.EOF) {
+				return body, nil
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+		if int64(len(body)) > limit {
+			return body, nil
+		}
+		capacity = min(2*capacity, limit+1)
+	}
+}
+
+// reserve reserves buffer space until the response is written.
+func (c *connection) reserve(request *http.Request, response *responseBuffer, size int64) error {
+	if c.server.config.ReserveBody == nil {
+		return nil
+	}
+	release, err := c.server.config.ReserveBody(request, size)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errNoBuffer, err)
+	}
+	response.AfterWrite(release)
+	return nil
+}
+
 func isDisconnected(err error) bool {
 	var network *net.OpError
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &network)
@@ -261,6 +328,7 @@
 		if err == nil {
 			err = writer.Flush()
 		}
+		x.response.written()
 		if err != nil {
 			c.cancel()
 			_ = c.conn.Close()
@@ -327,6 +395,8 @@
 
 func (r *limitedReader) setLimit(bytes int64) { r.remaining = bytes }
 
+func (r *limitedReader) isExhausted() bool { return r.remaining <= 0 }
+
 // Read reads at most the remaining number of bytes. It implements io.Reader.
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if r.remaining <= 0 {
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -23,6 +23,10 @@
 	// lingerTimeout is how long a connection is read after its last response. Closing a connection with unread bytes
 	// would reset it, and the caller could lose the response.
 	lingerTimeout = 500 * time.Millisecond
+	// bodyTimeout bounds the time for reading a request's body.
+	bodyTimeout = 30 * time.Second
+	// noBufferRetryAfter is the Retry-After, in seconds, of a request for whose body there is no buffer space.
+	noBufferRetryAfter = "1"
 	// writeTimeout is the timeout for writing a response, in case the caller does not read it.
 	writeTimeout = 20 * time.Second
 	// pollInterval is the time between checks by Shutdown for open connections, and the delay before a failed accept is
@@ -33,6 +37,7 @@
 // Limits holds size limits and timeouts for callers; zero values mean no limit.
 type Limits struct {
 	HeaderBytes   int
+	BodyBytes     int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
@@ -41,6 +46,9 @@
 type Config struct {
 	Clock   eelgrassbeam.Clock
 	Handler http.Handler
+	// ReserveBody reserves buffer space for a part of a request's body, in bytes. Without space the request is rejected
+	// before it is handled.
+	ReserveBody func(r *http.Request, bytes int64) (release func(), err error)
 	// Limits returns the current limits. It is called for each request.
 	Limits func() Limits
 	// AllowConcurrent reports whether a request may be handled while earlier ones of its connection are unanswered.
--- a/httpserver/httpserver_test.go
+++ b/httpserver/httpserver_test.go
@@ -28,10 +28,14 @@
 
 func newTestServer(t *testing.T, handler http.HandlerFunc, limits Limits) testServer {
 	t.Helper()
-	r := New(Config{
-		Clock: clockwork.NewRealClock(), Handler: handler, Limits: func() Limits { return limits },
-		AllowConcurrent: func(r *http.Request) bool { return r.Method == http.MethodGet },
-	})
+	return newConfiguredServer(t, Config{}, handler, limits)
+}
+
+func newConfiguredServer(t *testing.T, config Config, handler http.HandlerFunc, limits Limits) testServer {
+	t.Helper()
+	config.Clock, config.Handler, config.Limits = clockwork.NewRealClock(), handler, func() Limits { return limits }
+	config.AllowConcurrent = func(r *http.Request) bool { return r.Method == http.MethodGet }
+	r := New(config)
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	var group errgroup.Group
@@ -201,6 +205,72 @@
 	})
 }
 
+// Guards against callers that send without end: each part of a request is bounded in bytes, and no body is read for
+// which there is no buffer space.
+func TestEndlessRequests(t *testing.T) {
+	limits := Limits{HeaderBytes: 4096, BodyBytes: 64 << 10, HeaderTimeout: testTimeout}
+	s := newTestServer(t, echo, limits)
+	post := "POST / HTTP/1.1\r\nHost: a\r\n"
+	for name, test := range map[string]struct {
+		start, unit string
+		status      int
+	}{
+		"request line":      {"GET /", "a", http.StatusRequestHeaderFieldsTooLarge},
+		"header":            {"GET / HTTP/1.1\r\nHost: a\r\nX-A: ", "a", http.StatusRequestHeaderFieldsTooLarge},
+		"number of headers": {"GET / HTTP/1.1\r\nHost: a\r\n", "X-A: b\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"chunks":            {post + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n", http.StatusRequestEntityTooLarge},
+		"chunk extension":   {post + "Transfer-Encoding: chunked\r\n\r\n4;a=", "b", http.StatusBadRequest},
+		"trailers":          {post + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n", http.StatusBadRequest},
+		"declared length":   {post + "Content-Length: 1000000000000\r\n\r\n", "body", http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, reader := s.open(t, test.start)
+			var group errgroup.Group
+			group.Go(func() error {
+				unit := strings.Repeat(test.unit, 1+(16<<10)/len(test.unit))
+				for {
+					if _, err := io.WriteString(conn, unit); err != nil {
+						return nil // the server has closed the connection
+					}
+				}
+			})
+			response := requireResponse(t, reader, test.status, "")
+			is.New(t).True(response.Close)
+			is.New(t).NoErr(group.Wait())
+		})
+	}
+}
+
+func TestNoBufferSpace(t *testing.T) {
+	is := is.New(t)
+	var reserved, handled atomic.Int64
+	r := Config{ReserveBody: func(_ *http.Request, size int64) (func(), error) {
+		if reserved.Add(size) > 1<<20 {
+			reserved.Add(-size)
+			return nil, errors.New("no space")
+		}
+		return func() { reserved.Add(-size) }, nil
+	}}
+	s := newConfiguredServer(t, r, func(w http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		echo(w, r)
+	}, Limits{})
+	large := "POST /l HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2000000\r\n\r\n"
+	_, reader := s.open(t, large)
+	response := requireResponse(t, reader, http.StatusServiceUnavailable, "")
+	is.True(response.Header.Get("Retry-After") != "")
+	is.Equal(handled.Load(), int64(0))
+	for range 5 { // the space is returned after each response
+		_, reader := s.open(t, "POST /s HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n80000\r\n"+strings.Repeat("a", 0x80000)+"\r\n0\r\n\r\n")
+		requireResponse(t, reader, http.StatusOK, "")
+	}
+	for deadline := time.Now().Add(testTimeout); reserved.Load() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are still reserved after all responses", reserved.Load())
+		}
+	}
+}
+
 func TestInvalidRequests(t *testing.T) {
 	s := newTestServer(t, echo, Limits{HeaderBytes: 4096, HeaderTimeout: 100 * time.Millisecond})
 	for name, test := range map[string]struct {
--- a/httpserver/response.go
+++ b/httpserver/response.go
@@ -12,6 +12,8 @@
 	header http.Header
 	status int
 	body   bytes.Buffer
+	// afterWrite is called when the response has been written or dropped.
+	afterWrite []func()
 }
 
 func newResponseBuffer() *responseBuffer { return &responseBuffer{header: make(http.Header)} }
@@ -32,6 +34,16 @@
 	return b.body.Write(p)
 }
 
+// AfterWrite registers a function to be called when the response has been written to the caller, or dropped because the
+// caller has disconnected.
+func (b *responseBuffer) AfterWrite(do func()) { b.afterWrite = append(b.afterWrite, do) }
+
+func (b *responseBuffer) written() {
+	for _, do := range b.afterWrite {
+		do()
+	}
+}
+
 // httpResponse returns the response with a Content-Length, so that the caller detects a truncated one.
 func (b *responseBuffer) httpResponse(request *http.Request, isLast bool) *http.Response {
 	b.WriteHeader(http.StatusOK)
--- a/request.go
+++ b/request.go
@@ -129,6 +129,7 @@
 	ReasonKeyUnknown      Reason = "key_unknown"
 	ReasonInProgress      Reason = "in_progress"
 	ReasonRetryBudget     Reason = "retry_budget"
+	ReasonNoBuffer        Reason = "no_buffer"
 )
 
 // Reply is the result of a request at a receiver.
--- a/standin/backend_faults.go
+++ b/standin/backend_faults.go
@@ -1,8 +1,11 @@
 package standin
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
@@ -25,6 +28,54 @@
 	Draining bool `json:"draining,omitempty"`
 	// RunThenClose is the number of requests to execute and then abort without a response.
 	RunThenClose int `json:"run_then_close,omitempty"`
+	// Endless executes each request and then sends bytes without end until the client closes the connection.
+	Endless EndlessPart `json:"endless,omitempty"`
+}
+
+// EndlessPart is the part of a response that never ends.
+type EndlessPart string
+
+// The parts. EndlessTrickle is a body that grows by one byte every trickleInterval.
+const (
+	EndlessHeader  EndlessPart = "header"
+	EndlessChunks  EndlessPart = "chunks"
+	EndlessBody    EndlessPart = "body"
+	EndlessTrickle EndlessPart = "trickle"
+)
+
+const (
+	trickleInterval = 10 * time.Millisecond
+	// endlessBlockBytes is about the number of bytes that an endless response sends at once.
+	endlessBlockBytes = 64 << 10
+)
+
+// sendEndlessly sends the start of a response and then more of the part until the client closes the connection.
+func (b *Backend) sendEndlessly(w http.ResponseWriter, r *http.Request, part EndlessPart) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	start, unit := "HTTP/1.1 200 OK\r\n"+HeaderRequestID+": "+r.Header.Get(HeaderRequestID)+"\r\n", "endless"
+	switch part {
+	case EndlessHeader:
+		unit = "X-Endless: endless\r\n"
+	case EndlessChunks:
+		start, unit = start+"Transfer-Encoding: chunked\r\n\r\n", "7\r\nendless\r\n"
+	default:
+		start += "\r\n"
+	}
+	block, pause := strings.Repeat(unit, 1+endlessBlockBytes/len(unit)), time.Duration(0)
+	if part == EndlessTrickle {
+		block, pause = "e", trickleInterval
+	}
+	_, err = io.WriteString(conn, start)
+	for err == nil {
+		if pause > 0 {
+			<-b.clock.After(pause)
+		}
+		_, err = io.WriteString(conn, block)
+	}
 }
 
 // faultSet holds the active faults.
--- a/standin/work.go
+++ b/standin/work.go
@@ -145,6 +145,10 @@
 	if b.faults.consume(func(f *BackendFaults) *int { return &f.RunThenClose }) {
 		panic(http.ErrAbortHandler)
 	}
+	if part := b.faults.current().Endless; part != "" {
+		b.sendEndlessly(w, r, part)
+		return
+	}
 	b.delayResponse(r.Context(), b.faults.current().Delay.Duration)
 	if len(body) == 0 {
 		body = fmt.Appendf(nil, "%s %s\n", r.Method, r.URL.RequestURI())
--- a/test/soak_fleet_test.go
+++ b/test/soak_fleet_test.go
@@ -232,16 +232,22 @@
 
 // startBackend starts a backend with a new ID and points its link at it.
 func (f *soakFleet) startBackend(b *soakBackend) error {
+	return f.startBackendWith(b, "--slots", "4", "--queue-limit", "8")
+}
+
+// startBackendWith is startBackend with options for the backend's capacity.
+func (f *soakFleet) startBackendWith(b *soakBackend, capacity ...string) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.starts++
 	id := fmt.Sprintf("%s-%d", b.name, b.starts)
 	journal := filepath.Join(f.dir, id+".journal")
 	b.journals = append(b.journals, journal)
-	b.process = f.newProcess(id, "eelgrassbeam-standin", "backend", "--id", id, "--service", b.service, "--zone", b.zone,
-		"--slots", "4", "--queue-limit", "8", "--queue-wait", "500ms", "--journal", journal,
-		"--register", "http://"+f.store.address("address"), "--advertise", b.link.address(),
-		"--heartbeat", soakHeartbeat.String(), "--drain", (soakDrain + soakServeAfterDrain).String())
+	b.process = f.newProcess(id, "eelgrassbeam-standin", append([]string{
+		"backend", "--id", id, "--service", b.service, "--zone", b.zone, "--queue-wait", "500ms", "--journal", journal,
+		"--register", "http://" + f.store.address("address"), "--advertise", b.link.address(),
+		"--heartbeat", soakHeartbeat.String(), "--drain", (soakDrain + soakServeAfterDrain).String(),
+	}, capacity...)...)
 	if err := b.process.start(); err != nil {
 		return err
 	}
--- a/test/soak_schedule_test.go
+++ b/test/soak_schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -66,12 +67,28 @@
 	"backend_one_way": linkAction(pickBackendLink, applyToxic("timeout", `{"timeout":0}`, "downstream")),
 	"backend_deaf":    linkAction(pickBackendLink, applyToxic("timeout", `{"timeout":0}`, "upstream")),
 	"backend_reset":   linkAction(pickBackendLink, applyToxic("reset_peer", `{"timeout":20}`, "downstream")),
-	"backend_faults":  injectBackendFaults,
+	"backend_faults":  injectBackendFaults(`{"truncate":4}`, `{"cross":4}`, `{"errors":8}`, `{"run_then_close":4}`, `{"delay":"400ms"}`, `{"mislead_full":true}`),
 	"config_change":   changeConfiguration(1),
 	"config_storm":    changeConfiguration(6),
 	"zone_evacuate":   evacuateZone,
 }
 
+// lateActions are drawn after and apart from actions, so that the schedules of earlier seeds only gain disruptions.
+var lateActions = map[string]actionFunc{
+	"backend_endless": injectBackendFaults(`{"endless":"header"}`, `{"endless":"chunks"}`, `{"endless":"body"}`, `{"endless":"trickle"}`),
+}
+
+// actionOf returns the action of a kind of disruption.
+func actionOf(kind string) actionFunc {
+	if action, ok := actions[kind]; ok {
+		return action
+	}
+	return lateActions[kind]
+}
+
+// lateActionChance is the share of schedules that draw a late action.
+const lateActionChance = 0.4
+
 // newSchedule returns a random schedule that depends only on the seed and the length.
 func newSchedule(seed uint64, length time.Duration) []disruption {
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -93,6 +110,15 @@
 		schedule = append(schedule, disruption{at: at, kind: "config_change"},
 			disruption{at: at + 20*time.Millisecond, duration: 500 * time.Millisecond, kind: "all_kill"})
 	}
+	late := rand.New(rand.NewPCG(seed, 1))
+	for _, kind := range slices.Sorted(maps.Keys(lateActions)) {
+		if late.Float64() < lateActionChance {
+			schedule = append(schedule, disruption{
+				at:       time.Duration(late.Float64() * 0.8 * float64(length)),
+				duration: time.Duration((0.3 + 3*late.Float64()) * float64(time.Second)), kind: kind, target: late.IntN(1000),
+			})
+		}
+	}
 	slices.SortFunc(schedule, func(a, b disruption) int { return int(a.at - b.at) })
 	return schedule
 }
@@ -332,15 +358,17 @@
 	return errors.Join(err, b.process.signal(syscall.SIGCONT))
 }
 
-func injectBackendFaults(s *soak, d disruption) error {
-	b := s.backendOf(d)
-	defer s.acquire(b.name)()
-	kinds := []string{`{"truncate":4}`, `{"cross":4}`, `{"errors":8}`, `{"run_then_close":4}`, `{"delay":"400ms"}`, `{"mislead_full":true}`}
-	url := "http://" + b.process.address("address") + "/standin/faults"
-	_, err := doHTTP("PUT", url, []byte(kinds[d.target%len(kinds)]))
-	<-time.After(d.duration)
-	_, end := doHTTP("PUT", url, []byte("{}"))
-	return errors.Join(err, end)
+// injectBackendFaults injects one of the faults into a backend.
+func injectBackendFaults(faults ...string) actionFunc {
+	return func(s *soak, d disruption) error {
+		b := s.backendOf(d)
+		defer s.acquire(b.name)()
+		url := "http://" + b.process.address("address") + "/standin/faults"
+		_, err := doHTTP("PUT", url, []byte(faults[d.target%len(faults)]))
+		<-time.After(d.duration)
+		_, end := doHTTP("PUT", url, []byte("{}"))
+		return errors.Join(err, end)
+	}
 }
 
 func changeConfiguration(changes int) actionFunc {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -156,7 +156,7 @@
 	for _, d := range schedule {
 		group.Go(func() error {
 			<-time.After(d.at)
-			if err := actions[d.kind](s, d); err != nil {
+			if err := actionOf(d.kind)(s, d); err != nil {
 				s.t.Errorf("%s: %v", d, err)
 			}
 			return nil
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -69,6 +69,10 @@
 	ProgressTimeout time.Duration
 	// Connections is the maximum number of open connections to the upstream, including idle ones.
 	Connections int
+	// Reserve reserves buffer space, in bytes, for the part of the response body above ReservedBytes. It may wait until
+	// the context is done. If it is nil, no space is reserved.
+	Reserve       func(ctx context.Context, bytes int64) error
+	ReservedBytes int64
 
 	acceptMissingID bool
 }
@@ -218,7 +222,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	conn.idleTimeout = keepAliveTimeout(response.Header.Get("Keep-Alive"), c.config.IdleTimeout)
-	reply, err = c.receive(conn, response, request, limits)
+	reply, err = c.receive(ctx, conn, response, request, limits)
 	reply.Load = c.parseLoad(response.Header)
 	if err != nil && reply.Outcome == "" {
 		reply = eelgrassbeam.Unknown(request.ID, reasonFor(ctx, err))
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -21,6 +21,8 @@
 	ErrStatus = errors.New("response has an invalid status")
 	// ErrTooLarge reports a response body above the limit.
 	ErrTooLarge = errors.New("response exceeds the body limit")
+	// ErrNoBuffer reports a response body for which no buffer space became free in time.
+	ErrNoBuffer = errors.New("no buffer space for the response body")
 	// ErrShed reports that the upstream rejected the request before running it.
 	ErrShed = errors.New("upstream shed the request")
 	// ErrMisdirected reports that the address now belongs to another upstream, which has not run the request.
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -20,7 +21,7 @@
 
 // receive reads the complete response and checks that it belongs to the request.
 func (c *Client) receive(
-	conn *connection, response *http.Response, request eelgrassbeam.Request, limits Limits,
+	ctx context.Context, conn *connection, response *http.Response, request eelgrassbeam.Request, limits Limits,
 ) (eelgrassbeam.Reply, error) {
 	if err := c.checkRequestID(response, request.ID, limits); err != nil {
 		return eelgrassbeam.Reply{}, err
@@ -28,7 +29,7 @@
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return eelgrassbeam.Reply{}, fmt.Errorf("%w: status %d", ErrStatus, response.StatusCode)
 	}
-	body, err := c.readBody(conn, response, request.Method, limits.BodyBytes)
+	body, err := c.readBody(ctx, conn, response, request.Method, limits)
 	if err != nil {
 		return eelgrassbeam.Reply{}, err
 	}
@@ -59,7 +60,8 @@
 }
 
 // readBody returns the complete body, or an error if its end can't be verified.
-func (c *Client) readBody(conn *connection, response *http.Response, method string, limit int64) ([]byte, error) {
+func (c *Client) readBody(ctx context.Context, conn *connection, response *http.Response, method string, limits Limits) ([]byte, error) {
+	limit := limits.BodyBytes
 	if isBodiless(response.StatusCode, method) {
 		return nil, nil
 	}
@@ -69,17 +71,52 @@
 	if c.guards.complete && !c.config.Dialect.AcceptUnframed && response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") {
 		return nil, fmt.Errorf("%w: its end can't be verified without Content-Length or chunked encoding", ErrTruncated)
 	}
-	buffer := bytes.NewBuffer(make([]byte, 0, max(response.ContentLength, 0)+bytes.MinRead))
-	_, err := buffer.ReadFrom(io.LimitReader(response.Body, limit+1))
+	body, err := readLimited(ctx, response.Body, response.ContentLength, limits)
 	switch {
+	case errors.Is(err, ErrTooLarge), errors.Is(err, ErrNoBuffer):
+		return nil, err
 	case err != nil && c.guards.complete:
 		return nil, errors.Join(ErrTruncated, conn.wrapError(err))
-	case int64(buffer.Len()) > limit:
-		return nil, fmt.Errorf("%w: limit %d", ErrTooLarge, limit)
-	case c.guards.complete && response.ContentLength >= 0 && int64(buffer.Len()) != response.ContentLength:
-		return nil, fmt.Errorf("%w: %d of %d bytes", ErrTruncated, buffer.Len(), response.ContentLength)
+	case c.guards.complete && response.ContentLength >= 0 && int64(len(body)) != response.ContentLength:
+		return nil, fmt.Errorf("%w: %d of %d bytes", ErrTruncated, len(body), response.ContentLength)
 	default:
-		return buffer.Bytes(), nil
+		return body, nil
+	}
+}
+
+// readLimited reads a body of the declared length, or of any length if that is negative. It reserves buffer space before
+// it allocates it. It returns ErrTooLarge above the limit, ErrNoBuffer without space, and the error of a failed read.
+func readLimited(ctx context.Context, body io.Reader, declared int64, limits Limits) ([]byte, error) {
+	var buffer []byte
+	reserved := limits.ReservedBytes
+	grow := func(capacity int64) error {
+		if capacity > reserved && limits.Reserve != nil {
+			if err := limits.Reserve(ctx, capacity-reserved); err != nil {
+				return fmt.Errorf("%w: %w", ErrNoBuffer, err)
+			}
+			reserved = capacity
+		}
+		buffer = slices.Grow(buffer, int(capacity)-len(buffer))
+		return nil
+	}
+	if err := grow(max(declared, 0) + bytes.MinRead); err != nil {
+		return nil, err
+	}
+	for {
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		switch {
+		case int64(len(buffer)) > limits.BodyBytes:
+			return nil, fmt.Errorf("%w: limit %d", ErrTooLarge, limits.BodyBytes)
+		case errors.Is(err, io.EOF):
+			return buffer, nil
+		case err != nil:
+			return buffer, err
+		case len(buffer) == cap(buffer):
+			if err := grow(min(2*int64(cap(buffer)), limits.BodyBytes+bytes.MinRead)); err != nil {
+				return nil, err
+			}
+		}
 	}
 }
 
