--- a/deduplicator/router_test.go
+++ b/deduplicator/router_test.go
@@ -96,7 +96,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	server, pool := peer.NewServer(nil), peer.NewPool(peer.PoolConfig{})
+	server, pool := peer.NewServer(peer.ServerConfig{}), peer.NewPool(peer.PoolConfig{})
 	Register(server, home)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -45,6 +45,8 @@
 	bufferRatio = 0.25
 	// defaultMemoryBytes is the memory assumed if the settings name none.
 	defaultMemoryBytes = 512 << 20
+	// maxPeerMessageBytes bounds a message between entries: the full state of some 40,000 upstreams.
+	maxPeerMessageBytes = 8 << 20
 	// storeTimeout bounds one call to the store. It is many times the usual response time and below the time by
 	// which a change has to take effect.
 	storeTimeout = 1 * time.Second
@@ -146,7 +148,7 @@
 
 func (s *Server) buildView() {
 	s.viewer = viewer.New(viewer.Config{Clock: s.config.Clock, Log: s.log, DecodeRouting: platform.DecodeRouting})
-	s.pool = peer.NewPool(peer.PoolConfig{Clock: s.config.Clock, Log: s.log})
+	s.pool = peer.NewPool(peer.PoolConfig{Clock: s.config.Clock, Log: s.log, MaxMessageBytes: maxPeerMessageBytes})
 	s.gossiper = gossiper.New(gossiper.Config{
 		Self: s.self, Pool: s.pool, Clock: s.config.Clock, Log: s.log, Seeds: s.config.Settings.Seeds,
 		Replica: s.viewer, Directory: platform.EntryDirectory{Store: s.store}, IsReady: s.isReady, IsStoreReachable: s.viewer.IsStoreReachable,
@@ -190,7 +192,7 @@
 		Clock: s.config.Clock, Handler: s.forwarder, Limits: s.limits, AllowConcurrent: s.forwarder.IsSafeToRetry,
 		ReserveBody: s.forwarder.ReserveBody,
 	})
-	s.peerServer = peer.NewServer(nil)
+	s.peerServer = peer.NewServer(peer.ServerConfig{MaxMessageBytes: maxPeerMessageBytes})
 	peer.RegisterPing(s.peerServer)
 	s.gossiper.Register(s.peerServer)
 	ttl := min(lookupTTL, s.config.Settings.LookupTTL)
--- a/dispatchserver/build.go
+++ b/dispatchserver/build.go
@@ -224,7 +224,7 @@
 		Ready: http.HandlerFunc(s.serveReady), Metrics: promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}),
 	})}
 	s.operatorServer.TLSConfig = mutualTLS.ServerTLS()
-	s.peerServer = peer.NewServer(mutualTLS.ServerCredentials())
+	s.peerServer = peer.NewServer(peer.ServerConfig{Credentials: mutualTLS.ServerCredentials()})
 	peer.RegisterPing(s.peerServer)
 	sender.Register(s.peerServer, s.dispatcher)
 	deduplicator.Register(s.peerServer, s.keyRouter)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -90,7 +90,7 @@
 		Clock: clock, Log: log, Views: views, Exchanger: s, Budget: fixedBudget{hasBudget}, Metrics: NewMetrics(prometheus.NewRegistry()),
 		Entries: func() int { return 1 }, AffinityHeader: "X-Key",
 		Buffers: bufferlimiter.New(bufferlimiter.Config{Bytes: testBufferBytes, Registerer: prometheus.NewRegistry()}),
-		Picker: picker.New(picker.Config{Clock: clock, Log: log, Views: views, Entries: func() []eelgrassbeam.EntryID { return []eelgrassbeam.EntryID{""} }}),
+		Picker:  picker.New(picker.Config{Clock: clock, Log: log, Views: views, Entries: func() []eelgrassbeam.EntryID { return []eelgrassbeam.EntryID{""} }}),
 	})
 }
 
--- a/gossiper/bench_test.go
+++ b/gossiper/bench_test.go
@@ -5,9 +5,10 @@
 	"net/netip"
 	"testing"
 
-	"github.com/eelgrassbeam/eelgrassbeam"
 	"google.golang.org/grpc/encoding"
 
+	"github.com/eelgrassbeam/eelgrassbeam"
+
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
 
--- a/gossiper/pull_test.go
+++ b/gossiper/pull_test.go
@@ -73,7 +73,7 @@
 		Clock: e.clock, Log: log, Replica: e.replica, Pool: pool,
 		IsReady: func() bool { return true }, IsStoreReachable: func() bool { return true },
 	})
-	server := peer.NewServer(nil)
+	server := peer.NewServer(peer.ServerConfig{})
 	e.Register(server)
 	ctx, cancel := context.WithCancel(t.Context())
 	var group errgroup.Group
--- a/granter/grpc_test.go
+++ b/granter/grpc_test.go
@@ -117,7 +117,7 @@
 		Self: remote, Incarnation: incarnation, Clock: env.clock, Log: log, Fleet: env, Configuration: env, Assigner: env,
 		Grants: env, Recorder: records, Upstreams: upstreams,
 	})
-	peers := peer.NewServer(nil)
+	peers := peer.NewServer(peer.ServerConfig{})
 	peer.RegisterPing(peers)
 	sender.Register(peers, env.dispatcher)
 	granter.Register(peers, env.Granter)
--- a/monitor/monitor_test.go
+++ b/monitor/monitor_test.go
@@ -66,7 +66,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	pool := peer.NewPool(peer.PoolConfig{})
-	n := &node{listener: listener, pool: pool, server: peer.NewServer(nil), Monitor: New(Config{
+	n := &node{listener: listener, pool: pool, server: peer.NewServer(peer.ServerConfig{}), Monitor: New(Config{
 		Self: entry, Store: store, Pool: pool, Clock: clockwork.NewRealClock(), Log: log, Seeds: seeds, Incarnation: incarnation,
 		Interval: interval, Term: 6 * interval, Margin: 2 * interval,
 	})}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -39,6 +39,8 @@
 type PoolConfig struct {
 	Clock eelgrassbeam.Clock
 	Log   logrus.FieldLogger
+	// MaxMessageBytes is the maximum size of one message; zero means MaxMessageBytes of this package.
+	MaxMessageBytes int
 	// Credentials secure the connections; the default is plain text.
 	Credentials credentials.TransportCredentials
 	// Dial opens connections; the default is TCP.
@@ -63,6 +65,9 @@
 	if config.Credentials == nil {
 		config.Credentials = insecure.NewCredentials()
 	}
+	if config.MaxMessageBytes == 0 {
+		config.MaxMessageBytes = MaxMessageBytes
+	}
 	return &Pool{config: config, conns: make(map[netip.AddrPort]*pooledConn)}
 }
 
@@ -136,7 +141,7 @@
 		grpc.WithNoProxy(),
 		grpc.WithUnaryInterceptor(pooled.trackCall),
 		grpc.WithDefaultCallOptions(
-			grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
+			grpc.MaxCallRecvMsgSize(p.config.MaxMessageBytes), grpc.MaxCallSendMsgSize(p.config.MaxMessageBytes)),
 	}
 	if p.config.Dial == nil {
 		return options
@@ -146,15 +151,26 @@
 	}))
 }
 
-// NewServer returns a gRPC server for calls from other entries; nil credentials mean plain text.
-func NewServer(creds credentials.TransportCredentials) *grpc.Server {
-	if creds == nil {
-		creds = insecure.NewCredentials()
+// ServerConfig configures a server for calls from other entries.
+type ServerConfig struct {
+	// Credentials secure the connections; the default is plain text.
+	Credentials credentials.TransportCredentials
+	// MaxMessageBytes is the maximum size of one message; zero means MaxMessageBytes of this package.
+	MaxMessageBytes int
+}
+
+// NewServer returns a gRPC server for calls from other entries.
+func NewServer(config ServerConfig) *grpc.Server {
+	if config.Credentials == nil {
+		config.Credentials = insecure.NewCredentials()
+	}
+	if config.MaxMessageBytes == 0 {
+		config.MaxMessageBytes = MaxMessageBytes
 	}
 	return grpc.NewServer(
-		grpc.Creds(creds),
+		grpc.Creds(config.Credentials),
 		grpc.InitialWindowSize(streamWindowBytes), grpc.InitialConnWindowSize(connWindowBytes),
-		grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.MaxRecvMsgSize(config.MaxMessageBytes), grpc.MaxSendMsgSize(config.MaxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: KeepaliveTime, Timeout: KeepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: KeepaliveTime / 2, PermitWithoutStream: true}),
 	)
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -112,7 +112,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	clock := clockwork.NewRealClock()
-	pool, server := peer.NewPool(peer.PoolConfig{Clock: clock, Log: log}), peer.NewServer(nil)
+	pool, server := peer.NewPool(peer.PoolConfig{Clock: clock, Log: log}), peer.NewServer(peer.ServerConfig{})
 	m := &member{self: self, registry: prometheus.NewRegistry(), configHolder: configholder.New(configholder.Config{Clock: clock, Log: log})}
 	m.monitor = monitor.New(monitor.Config{
 		Self: self, Store: store, Pool: pool, Clock: clock, Log: log, Registerer: m.registry, Incarnation: uint64(time.Now().UnixNano()),
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -75,7 +75,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	clock := clockwork.NewRealClock()
-	pool, server := peer.NewPool(peer.PoolConfig{}), peer.NewServer(nil)
+	pool, server := peer.NewPool(peer.PoolConfig{}), peer.NewServer(peer.ServerConfig{})
 	n := &node{Relayer: New(Config{
 		Self: self, ConfigHolder: configholder.New(configholder.Config{Clock: clock, Log: log}), Fleet: &c.fleet, Store: c.store, Pool: pool, Clock: clock, Log: log,
 	})}
