--- a/gossiper/bench_test.go
+++ b/gossiper/bench_test.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc/encoding"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
-
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
 
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -76,11 +76,7 @@
 // backends of each service.
 func newEndlessFleet(t *testing.T) *soakFleet {
 	t.Helper()
-	f := &soakFleet{dir: t.TempDir(), hostPrefix: newHostPrefix(), links: newLinks()}
-	t.Cleanup(f.close)
-	f.store = f.newProcess("store", "eelgrassbeam-standin", "platform", "--lapse", (3 * soakHeartbeat).String())
-	must(t, f.store.start())
-	must(t, f.configure(1))
+	f := newStoreFleet(t)
 	must(t, f.addEntry(0))
 	entry := f.entries[0]
 	settings := bytes.Replace(entry.settingsTOML([]string{entry.addresses["control"]}), []byte("memory_mb = 300"), fmt.Appendf(nil, "memory_mb = %d", endlessMemoryMB), 1)
--- a/test/soak_fleet_test.go
+++ b/test/soak_fleet_test.go
@@ -94,11 +94,7 @@
 // newSoakFleet starts the processes: a store, and scale times 5 entries and 9 backends.
 func newSoakFleet(t *testing.T, scale int) *soakFleet {
 	t.Helper()
-	f := &soakFleet{dir: t.TempDir(), hostPrefix: newHostPrefix(), links: newLinks()}
-	t.Cleanup(f.close)
-	f.store = f.newProcess("store", "eelgrassbeam-standin", "platform", "--lapse", (3 * soakHeartbeat).String())
-	must(t, f.store.start())
-	must(t, f.configure(1))
+	f := newStoreFleet(t)
 	for i := range 5 * scale {
 		must(t, f.addEntry(i))
 	}
@@ -122,6 +118,17 @@
 	return f
 }
 
+// newStoreFleet starts a store with a configuration.
+func newStoreFleet(t *testing.T) *soakFleet {
+	t.Helper()
+	f := &soakFleet{dir: t.TempDir(), hostPrefix: newHostPrefix(), links: newLinks()}
+	t.Cleanup(f.close)
+	f.store = f.newProcess("store", "eelgrassbeam-standin", "platform", "--lapse", (3 * soakHeartbeat).String())
+	must(t, f.store.start())
+	must(t, f.configure(1))
+	return f
+}
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
