--- a/gossiper/discover.go
+++ b/gossiper/discover.go
@@ -39,8 +39,8 @@
 func (g *Gossiper) awaitMembers(ctx context.Context) {
 	started := g.config.Clock.Now()
 	for ctx.Err() == nil {
-		waited := g.config.Clock.Now().Sub(started)
-		if waited >= settleTime || waited >= seedTimeout && len(g.Members()) == 1 || !g.hasSeeds() && len(g.Members()) == 1 {
+		waited, isIsolated := g.config.Clock.Now().Sub(started), len(g.Members()) == 1
+		if waited >= settleTime || isIsolated && (waited >= seedTimeout || !g.hasSeeds()) {
 			return
 		}
 		select {
--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -2,16 +2,13 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,16 +19,9 @@
 const (
 	readBufferBytes  = 8 << 10
 	writeBufferBytes = 8 << 10
-	// maxBodyBytes bounds a body, which is buffered before the handler is called, if Limits sets no lower limit.
-	maxBodyBytes = 64 << 20
-	// minBodyBufferBytes is the first size of the buffer for a body of unknown length.
-	minBodyBufferBytes = 4 << 10
 )
 
-var (
-	errHeaderTooLarge = errors.New("request header exceeds the size limit")
-	errNoBuffer       = errors.New("no buffer space for the request body")
-)
+var errHeaderTooLarge = errors.New("request header exceeds the size limit")
 
 // connection is a caller's connection. One goroutine reads requests, one writes responses in order, and each request is
 // handled in a goroutine of its own.
@@ -205,84 +195,6 @@
 	return c.readBody(request, response, limits.BodyBytes)
 }
 
-// readBody reads the body into memory, so that the next request can be read while this one is handled. Its results
-// are those of readRequest.
-func (c *connection) readBody(request *http.Request, response *responseBuffer, limit int64) (*http.Request, int) {
-	c.setReadDeadline(bodyTimeout)
-	if request.Body == nil || request.Body == http.NoBody {
-		return request.WithContext(c.ctx), 0
-	}
-	if limit <= 0 {
-		limit = maxBodyBytes
-	}
-	if request.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, 0
-		}
-	}
-	body, err := c.bufferBody(request, response, limit)
-	switch {
-	case errors.Is(err, errNoBuffer):
-		return nil, http.StatusServiceUnavailable
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, http.StatusRequestTimeout
-	case err != nil && isDisconnected(err):
-		return nil, 0
-	case err != nil:
-		return nil, http.StatusBadRequest
-	case int64(len(body)) > limit:
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
-	return request.WithContext(c.ctx), 0
-}
-
-// bufferBody reads at most one byte more than the limit. Space is reserved before it is used: at once for a body of known
-// length, else as the body grows.
-func (c *connection) bufferBody(request *http.Request, response *responseBuffer, limit int64) ([]byte, error) {
-	capacity := request.ContentLength + 1
-	if request.ContentLength < 0 {
-		capacity = min(minBodyBufferBytes, limit+1)
-	}
-	var body []byte
-	for {
-		if err := c.reserve(request, response, capacity-int64(cap(body))); err != nil {
-			return nil, err
-		}
-		body = append(make([]byte, 0, capacity), body...)
-		for len(body) < cap(body) {
-			n, err := request.Body.Read(body[len(body):cap(body)])
-			body = body[:len(body)+n]
-			if errors.Is(err, io.EOF) {
-				return body, nil
-			}
-			if err != nil {
-				return nil, err
-			}
-		}
-		if int64(len(body)) > limit {
-			return body, nil
-		}
-		capacity = min(2*capacity, limit+1)
-	}
-}
-
-// reserve reserves buffer space until the response is written.
-func (c *connection) reserve(request *http.Request, response *responseBuffer, size int64) error {
-	if c.server.config.ReserveBody == nil {
-		return nil
-	}
-	release, err := c.server.config.ReserveBody(request, size)
-	if err != nil {
-		return fmt.Errorf("%w: %w", errNoBuffer, err)
-	}
-	response.AfterWrite(release)
-	return nil
-}
-
 func isDisconnected(err error) bool {
 	var network *net.OpError
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &network)
--- a/httpserver/httpserver_test.go
+++ b/httpserver/httpserver_test.go
@@ -244,12 +244,16 @@
 func TestNoBufferSpace(t *testing.T) {
 	is := is.New(t)
 	var reserved, handled atomic.Int64
+	released := make(chan struct{}, 100)
 	r := Config{ReserveBody: func(_ *http.Request, size int64) (func(), error) {
 		if reserved.Add(size) > 1<<20 {
 			reserved.Add(-size)
 			return nil, errors.New("no space")
 		}
-		return func() { reserved.Add(-size) }, nil
+		return func() {
+			reserved.Add(-size)
+			released <- struct{}{}
+		}, nil
 	}}
 	s := newConfiguredServer(t, r, func(w http.ResponseWriter, r *http.Request) {
 		handled.Add(1)
@@ -264,8 +268,11 @@
 		_, reader := s.open(t, "POST /s HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n80000\r\n"+strings.Repeat("a", 0x80000)+"\r\n0\r\n\r\n")
 		requireResponse(t, reader, http.StatusOK, "")
 	}
-	for deadline := time.Now().Add(testTimeout); reserved.Load() > 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
+	timeout := time.After(testTimeout)
+	for reserved.Load() > 0 {
+		select {
+		case <-released:
+		case <-timeout:
 			t.Fatalf("%d bytes are still reserved after all responses", reserved.Load())
 		}
 	}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -28,7 +28,9 @@
 		var n int
 		n, err = io.WriteString(conn, unit)
 		total += n
-		time.Sleep(pause)
+		if pause > 0 {
+			<-time.After(pause)
+		}
 	}
 	return total
 }
