gossiper: metrics of transfers and of the version in force

What was missing to tell the hypotheses apart: which version an entry applies (eelgrassbeam_configuration_version), whether transfers between entries end in time and how many bytes of configuration they carry (eelgrassbeam_gossip_transfers_total, _transfer_seconds, _routing_bytes_total), and the time from the arrival of a configuration to its use (took_ms of configuration_in_force). No change of logic.

--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -135,6 +135,7 @@
 	}
 	f.store = store
 	f.buildView()
+	f.registerVersion()
 	f.buildRequests()
 	f.buildServers()
 	if disableGuards != nil {
@@ -154,7 +155,7 @@
 	s.pool = peer.NewPool(peer.PoolConfig{Clock: s.config.Clock, Log: s.log, MaxMessageBytes: maxPeerMessageBytes})
 	s.gossiper = gossiper.New(gossiper.Config{
 		Self: s.self, Pool: s.pool, Clock: s.config.Clock, Log: s.log, Seeds: s.config.Settings.Seeds,
-		Replica: s.viewer, Directory: platform.EntryDirectory{Store: s.store}, IsReady: s.isReady, IsStoreReachable: s.viewer.IsStoreReachable,
+		Registerer: s.registry, Replica: s.viewer, Directory: platform.EntryDirectory{Store: s.store}, IsReady: s.isReady, IsStoreReachable: s.viewer.IsStoreReachable,
 	})
 	wait := peerWait
 	if s.config.Settings.IsFirstStart {
@@ -169,6 +170,18 @@
 	})
 }
 
+// registerVersion registers the metric of the configuration in force.
+func (s *Server) registerVersion() {
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "eelgrassbeam_configuration_version", Help: "Version of the configuration in force; zero without one.",
+	}, func() float64 {
+		if routing := s.viewer.View().Routing; routing != nil {
+			return float64(routing.Version)
+		}
+		return 0
+	}))
+}
+
 func (s *Server) buildRequests() {
 	s.picker = picker.New(picker.Config{
 		Self: s.self, Clock: s.config.Clock, Log: s.log, Views: s.viewer, Entries: s.gossiper.LiveIDs,
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
@@ -149,7 +150,8 @@
 	Seeds   []netip.AddrPort
 	Replica Replica
 	// Directory registers and lists entries in the store.
-	Directory Directory
+	Directory  Directory
+	Registerer prometheus.Registerer
 	// IsReady reports whether this entry accepts callers' requests.
 	IsReady func() bool
 	// IsStoreReachable reports whether this entry's latest call to the store, if it makes any, got a response.
@@ -176,7 +178,8 @@
 
 // Gossiper maintains the membership and implements the gossip service. It is safe for concurrent use.
 type Gossiper struct {
-	config Config
+	config  Config
+	metrics metrics
 	// changed has a buffer of one and wakes up the push loop.
 	changed     chan struct{}
 	pullTargets chan pullTarget
@@ -191,7 +194,7 @@
 func New(config Config) *Gossiper {
 	config.Self.State = eelgrassbeam.InstanceLive
 	return &Gossiper{
-		config: config, records: make(map[eelgrassbeam.EntryID]*record), changed: make(chan struct{}, 1),
+		config: config, metrics: newMetrics(config.Registerer), records: make(map[eelgrassbeam.EntryID]*record), changed: make(chan struct{}, 1),
 		pullTargets: make(chan pullTarget, 1), seeds: config.Seeds,
 		self: Member{Entry: config.Self, Incarnation: uint64(config.Clock.Now().UnixNano())},
 	}
--- a/gossiper/pull.go
+++ b/gossiper/pull.go
@@ -79,15 +79,17 @@
 		g.config.Log.WithFields(logrus.Fields{"event": "pull_failed", "address": address, "error": err}).Warn("")
 		return
 	}
-	before := g.config.Replica.Revisions()
+	before, started := g.config.Replica.Revisions(), g.config.Clock.Now()
 	state, err := peer.Call[State](callCtx, conn, Service, methodPull, &before, peer.Compressed())
 	if err != nil {
+		g.recordTransfer(operationPull, started, 0, err)
 		if callCtx.Err() != nil {
 			g.config.Pool.Evict(address, conn)
 		}
 		g.config.Log.WithFields(logrus.Fields{"event": "pull_failed", "address": address, "error": err}).Warn("")
 		return
 	}
+	g.recordTransfer(operationPull, started, len(state.Routing), nil)
 	g.config.Replica.Merge(*state)
 	if after := g.config.Replica.Revisions(); after != before {
 		g.config.Log.WithFields(logrus.Fields{
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -127,10 +127,12 @@
 	if len(state.Upstreams) >= minCompressedUpstreams {
 		options = append(options, peer.Compressed())
 	}
+	started := g.config.Clock.Now()
 	revisions, err := peer.Call[Revisions](ctx, conn, Service, methodPush, &state, options...)
+	g.recordTransfer(operationPush, started, len(state.Routing), err)
 	if err != nil {
 		// The member detects its lag and pulls the state after its next exchange.
-		g.config.Log.WithFields(logrus.Fields{"event": "push_failed", "peer": target.id, "error": err}).Info("")
+		g.config.Log.WithFields(logrus.Fields{"event": "push_failed", "peer": target.id, "routing_bytes": len(state.Routing), "error": err}).Info("")
 		return
 	}
 	g.recordRevisions(target.id, *revisions)
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -168,6 +168,7 @@
 
 // UpdateRouting decodes the routing and applies it if its version is higher than that of the current one.
 func (v *Viewer) UpdateRouting(value []byte, revision eelgrassbeam.Revision, source string) {
+	received := v.config.Clock.Now()
 	routing, err := v.config.DecodeRouting(value)
 	if err != nil {
 		v.config.Log.WithFields(logrus.Fields{"event": "configuration_refused", "revision": revision, "source": source, "error": err}).Error("")
@@ -186,7 +187,7 @@
 	v.publish(view.WithRouting(routing, revision))
 	v.config.Log.WithFields(logrus.Fields{
 		"event": "configuration_in_force", "version": routing.Version, "revision": revision, "source": source,
-		"routes": len(routing.Routes),
+		"routes": len(routing.Routes), "bytes": len(value), "took_ms": v.config.Clock.Now().Sub(received).Milliseconds(),
 	}).Info("")
 }
 
