gossiper: announce large configurations, and let each entry pull them once

Cause: a transfer whose time depends on its size and on the link had the fixed time of a small call (0.8 s), and each receiver got as many copies as it had peers that were ahead. Both watchers of a zone, and each entry that had pulled the state, pushed the whole configuration uncompressed to all others at once; on a link of 10 Mbit/s none of the copies ended in time, all that had come was thrown away, and the next change of any upstream sent them again.

Now a push names a configuration above 16 KiB instead of holding it. The receiver pulls it, compressed, from one peer, with 5 s for it; beside a pull that takes longer than 0.8 s, as from a frozen peer, another one may run. What was pulled within the zone isn't announced again by the receiver. A configuration that the entry has already isn't decoded again. Entries of earlier versions ignore the announcement and pull with their next exchange.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -43,8 +43,18 @@
 	pushDelay = 20 * time.Millisecond
 	// minCompressedUpstreams is the number of upstreams from which a push is compressed.
 	minCompressedUpstreams = 16
-	// callTimeout bounds one call. It is below failureTimeout, so that one dead peer doesn't make others seem failed.
+	// callTimeout bounds one call with a small message. It is below failureTimeout, so that one dead peer doesn't make
+	// others seem failed.
 	callTimeout = 800 * time.Millisecond
+	// pullTimeout bounds a pull, whose duration depends on the size of the state and the speed of the link.
+	pullTimeout = 5 * time.Second
+	// hedgeDelay is how long a pull may take before another one from a different peer starts beside it.
+	hedgeDelay = callTimeout
+	// maxPulls is the number of pulls in progress.
+	maxPulls = 2
+	// maxPushedRoutingBytes is the size up to which the routing is pushed. A larger one is announced, and each receiver
+	// pulls it once, however many peers hold it.
+	maxPushedRoutingBytes = 16 << 10
 	// failedRetention is how long a member is kept after its last heartbeat.
 	failedRetention = time.Minute
 	// pullDelay is the delay before state is pulled from a peer with a later revision. The store or a push usually
@@ -130,6 +140,21 @@
 	// RetainedFor is the remaining retention of the evacuations that the restored store lacks. Entries of earlier versions
 	// neither send nor read it.
 	RetainedFor map[eelgrassbeam.ZoneID]time.Duration `json:"retained_for,omitempty"`
+	// Announced are the sender's revisions if the state leaves out a large routing, From the sender. Entries of earlier
+	// versions ignore both and pull after their next exchange.
+	Announced *Revisions           `json:"announced,omitempty"`
+	From      eelgrassbeam.EntryID `json:"from,omitempty"`
+}
+
+// withoutLargeRouting returns the state with an announcement instead of a routing above maxPushedRoutingBytes.
+func (s State) withoutLargeRouting(from eelgrassbeam.EntryID) State {
+	if len(s.Routing) <= maxPushedRoutingBytes {
+		return s
+	}
+	announced := s.Revisions
+	s.Announced, s.From = &announced, from
+	s.Routing, s.RoutingRevision, s.Revisions.RoutingVersion = nil, 0, 0
+	return s
 }
 
 // Replica is this entry's copy of the store state.
--- a/gossiper/pull.go
+++ b/gossiper/pull.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
@@ -28,30 +29,73 @@
 	}
 }
 
+// pulls are the pulls in progress. They are used by one goroutine only.
+type pulls struct {
+	group   errgroup.Group
+	done    chan struct{}
+	count   int
+	started time.Time
+	// next is the most recent target that arrived while no further pull could start.
+	next *pullTarget
+}
+
+// mayStart reports whether another pull may start: none is in progress, or one that takes long.
+func (p *pulls) mayStart(now time.Time) bool {
+	return p.count == 0 || p.count < maxPulls && now.Sub(p.started) >= hedgeDelay
+}
+
 // catchUp pulls more recent state from peers: the routing, or all state if this entry has none, at once; other state
-// after pullDelay unless it has arrived by then. Pulled state is pushed to the entries of this zone, because the zone's
-// watchers have evidently not received it.
+// after pullDelay unless it has arrived by then. State pulled from another zone is pushed to the entries of this zone,
+// because the zone's watchers have evidently not received it.
 func (g *Gossiper) catchUp(ctx context.Context) error {
 	var pending pullTarget
 	var timer <-chan time.Time
+	inProgress := &pulls{done: make(chan struct{}, maxPulls)}
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return inProgress.group.Wait()
+		case <-inProgress.done:
+			inProgress.count--
+			if next := inProgress.next; next != nil {
+				inProgress.next = nil
+				g.startPull(ctx, inProgress, *next)
+			}
 		case target := <-g.pullTargets:
 			local := g.config.Replica.Revisions()
 			if target.revisions.RoutingVersion > local.RoutingVersion || local.Upstreams == 0 {
-				g.pull(ctx, g.pullAddress(target, local))
+				g.startPull(ctx, inProgress, target)
 			} else if timer == nil {
 				pending, timer = target, g.config.Clock.After(pullDelay)
 			}
 		case <-timer:
 			timer = nil
-			if !g.config.Replica.Revisions().covers(pending.revisions) {
-				g.pull(ctx, pending.address)
-			}
+			g.startPull(ctx, inProgress, pending)
+		}
+	}
+}
+
+// startPull starts a pull of the target's state if this entry lacks it. If too many pulls are in progress, it does so when
+// one of them has ended.
+func (g *Gossiper) startPull(ctx context.Context, inProgress *pulls, target pullTarget) {
+	local, now := g.config.Replica.Revisions(), g.config.Clock.Now()
+	if local.covers(target.revisions) {
+		return
+	}
+	if !inProgress.mayStart(now) {
+		if next := inProgress.next; next == nil || !next.revisions.covers(target.revisions) {
+			inProgress.next = &target
 		}
+		return
 	}
+	inProgress.count++
+	inProgress.started = now
+	address := g.pullAddress(target, local)
+	inProgress.group.Go(func() error {
+		g.pull(ctx, address)
+		inProgress.done <- struct{}{}
+		return nil
+	})
 }
 
 // pullAddress returns the address from which to pull the target's state. An entry that has no state yet prefers a random
@@ -72,7 +116,7 @@
 }
 
 func (g *Gossiper) pull(ctx context.Context, address netip.AddrPort) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	conn, err := g.config.Pool.Conn(address)
 	if err != nil {
@@ -96,6 +140,8 @@
 			"event": "pulled", "address": address, "upstreams_revision": after.Upstreams, "routing_version": after.RoutingVersion,
 			"evacuated_revision": after.Evacuated, "upstreams_revision_before": before.Upstreams,
 		}).Info("")
-		g.pushTo(ctx, g.lagging(g.zoneMembers()))
+		if !g.isInZone(address) {
+			g.pushTo(ctx, g.lagging(g.zoneMembers()))
+		}
 	}
 }
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return
 	}
-	state := g.config.Replica.State(target.revisions)
+	state := g.config.Replica.State(target.revisions).withoutLargeRouting(g.config.Self.ID)
 	var options []grpc.CallOption
 	if len(state.Upstreams) >= minCompressedUpstreams {
 		options = append(options, peer.Compressed())
@@ -140,6 +140,9 @@
 
 func (g *Gossiper) handlePush(_ context.Context, state *State) (*Revisions, error) {
 	g.config.Replica.Merge(*state)
+	if state.Announced != nil {
+		g.requestPull(g.peerAddress(state.From), *state.Announced)
+	}
 	revisions := g.config.Replica.Revisions()
 	return &revisions, nil
 }
--- a/viewer/replica.go
+++ b/viewer/replica.go
@@ -78,7 +78,7 @@
 // Merge implements gossiper.Replica.
 func (v *Viewer) Merge(state gossiper.State) {
 	local := v.Revisions()
-	if len(state.Routing) > 0 {
+	if len(state.Routing) > 0 && state.Revisions.RoutingVersion > local.RoutingVersion {
 		v.UpdateRouting(state.Routing, state.RoutingRevision, sourcePeer)
 	}
 	if state.Revisions.Upstreams > local.Upstreams && len(state.ColdFor) == len(state.Upstreams) {
