picker: send nothing to an upstream that says in an answer that it leaves

Cause: only the store's state counted; an entry that was behind, or whose store was away, went on sending. What the answer says now holds until the upstream starts again, also if the store loses its registration and lists it once more.

--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -191,8 +191,7 @@
 		ResponseMargin: responseGrace,
 		Dialect: upstream.Dialect{
 			ExpectedID: platform.HeaderExpectInstance, NotRun: platform.HeaderNotExecuted, Load: platform.HeaderServerLoad,
-			Limit:          platform.HeaderServerLimit,
-			AcceptUnframed: true,
+			Limit: platform.HeaderServerLimit, Leaving: platform.HeaderServerLeaving, AcceptUnframed: true,
 		},
 	})
 	s.forwarder = forwarder.New(forwarder.Config{
--- a/directserver/signals_test.go
+++ b/directserver/signals_test.go
@@ -118,3 +118,18 @@
 	}
 	return sum
 }
+
+// Guards against requests to an upstream that has said in an answer that it leaves, while the store still lists it.
+func TestUpstreamThatLeavesGetsNoRequests(t *testing.T) {
+	const drain = 2500 * time.Millisecond
+	s, reached := newSignallingCluster(t, 2, func(w http.ResponseWriter, next http.Handler, r *http.Request) {
+		w.Header().Set("Server-Leaving", "1")
+		next.ServeHTTP(w, r)
+	})
+	left := time.Now().Add(drain)
+	statuses := s.load(t, 10, drain+2*time.Second)
+	is := is.New(t)
+	is.True(reached.countAfter(time.Time{}) > 0)
+	is.Equal(reached.countAfter(left), 0)
+	is.Equal(statuses[http.StatusOK], total(statuses))
+}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -261,7 +261,7 @@
 
 // isEligible reports whether the upstream may be selected for the job, whatever its load.
 func (p *Picker) isEligible(u *state, job Job, now time.Time) bool {
-	return u.upstream.State == eelgrassbeam.InstanceLive && !u.isEjected(now) && !u.isEvacuated &&
+	return !u.isLeaving() && !u.isEjected(now) && !u.isEvacuated &&
 		job.Route.Allows(u.upstream.Region) && !slices.Contains(job.Tried, u.upstream.ID) &&
 		p.mayUse(u, now)
 }
@@ -392,6 +392,11 @@
 		s := p.service(upstream.Service)
 		s.upstreams = append(s.upstreams, u)
 	}
+	for id, u := range p.upstreams {
+		if states[id] == nil && !u.leavingSince.IsZero() && p.viewSince.Sub(u.leavingSince) < leavingRetention {
+			states[id] = u
+		}
+	}
 	p.upstreams = states
 }
 
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -275,3 +275,39 @@
 	s.now = s.now.Add(baseEjectionTime)
 	is.Equal(len(candidateIDs(p, job)), 1) // ejected once, for the shortest time
 }
+
+// Guards against requests to an upstream that has said that it leaves, after the store has lost and listed it again.
+func TestUpstreamThatLeavesIsRemembered(t *testing.T) {
+	leave := func(t *testing.T) *simulation {
+		t.Helper()
+		s := newSimulation(t, 1, 2, 1)
+		slot, err := s.pickers[0].Acquire(t.Context(), Job{Route: lookupRoute, Service: "s", Key: "1", StartBy: s.now.Add(time.Second)})
+		is.New(t).NoErr(err)
+		slot.Observe(&eelgrassbeam.Notice{IsLeaving: true})
+		slot.Release(ResultAnswered, eelgrassbeam.SiteLoad{})
+		is.New(t).Equal(len(candidateIDs(s.pickers[0], Job{Route: lookupRoute, Service: "s", Key: "1"})), 1)
+		return s
+	}
+	requireCandidates := func(t *testing.T, s *simulation, want int) {
+		t.Helper()
+		is.New(t).Equal(len(candidateIDs(s.pickers[0], Job{Route: lookupRoute, Service: "s", Key: "1"})), want)
+	}
+	t.Run("listed again", func(t *testing.T) {
+		s := leave(t)
+		listed := s.view.Upstreams
+		s.view = s.view.WithUpstreams(nil, 2)
+		requireCandidates(t, s, 0)
+		s.now = s.now.Add(leavingRetention / 2)
+		s.view = s.view.WithUpstreams(listed, 3)
+		requireCandidates(t, s, 1)
+	})
+	t.Run("started again", func(t *testing.T) {
+		s := leave(t)
+		started := append([]eelgrassbeam.Upstream{}, s.view.Upstreams...)
+		for i := range started {
+			started[i].Started = 9
+		}
+		s.view = s.view.WithUpstreams(started, 2)
+		requireCandidates(t, s, 2)
+	})
+}
--- a/picker/ration.go
+++ b/picker/ration.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/sirupsen/logrus"
 
-	"github.com/eelgrassbeam/eelgrassbeam"
 	"github.com/eelgrassbeam/eelgrassbeam/assigner"
 )
 
@@ -139,29 +137,6 @@
 	return time.Duration(missing / perSecond * float64(time.Second))
 }
 
-// Observe records what the upstream says of itself in its response to the slot's request. It must precede Release.
-func (s *Slot) Observe(notice *eelgrassbeam.Notice) {
-	if notice == nil {
-		return
-	}
-	p, u := s.picker, s.state
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.config.Clock.Now()
-	if (u.limit == 0) != (notice.Limit == 0) {
-		fields := logrus.Fields{"event": "upstream_limited", "upstream": u.upstream.ID, "limit": notice.Limit, "request": s.job.Request}
-		if notice.Limit == 0 {
-			fields["event"], fields["limit"] = "upstream_unlimited", u.limit
-		}
-		p.config.Log.WithFields(fields).Info("")
-	}
-	wasLimited := u.limit > 0
-	u.limit = notice.Limit
-	if !wasLimited && u.limit > 0 {
-		p.beginLimit(u, now)
-	}
-}
-
 // beginLimit sets the tokens for an upstream that begins to name a limit. Entries learn of it at the same time; each
 // starts at another point of its period, so that they don't send at the same time later.
 func (p *Picker) beginLimit(u *state, now time.Time) {
--- a/picker/slot.go
+++ b/picker/slot.go
@@ -64,6 +64,41 @@
 	p.assignSlots(s.service)
 }
 
+// Observe records what the upstream says of itself in its response to the slot's request. It must precede Release.
+func (s *Slot) Observe(notice *eelgrassbeam.Notice) {
+	if notice == nil {
+		return
+	}
+	p := s.picker
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.config.Clock.Now()
+	s.observeLimit(notice.Limit, now)
+	if notice.IsLeaving && s.state.leavingSince.IsZero() {
+		s.state.leavingSince = now
+		s.logNotice("upstream_leaving", logrus.Fields{})
+	}
+}
+
+func (s *Slot) observeLimit(limit float64, now time.Time) {
+	u := s.state
+	before := u.limit
+	u.limit = limit
+	switch {
+	case before == 0 && limit > 0:
+		s.picker.beginLimit(u, now)
+		s.logNotice("upstream_limited", logrus.Fields{"limit": limit})
+	case before > 0 && limit == 0:
+		s.logNotice("upstream_unlimited", logrus.Fields{"limit_before": before})
+	}
+}
+
+// logNotice logs a change of what the upstream says of itself.
+func (s *Slot) logNotice(event string, fields logrus.Fields) {
+	fields["event"], fields["upstream"], fields["request"] = event, s.Upstream.ID, s.job.Request
+	s.picker.config.Log.WithFields(fields).Info("")
+}
+
 func (s *Slot) record(result Result, report eelgrassbeam.SiteLoad, now time.Time) {
 	u, took := s.state, now.Sub(s.acquiredAt)
 	if report.Slots > 0 {
--- a/picker/state.go
+++ b/picker/state.go
@@ -56,6 +56,9 @@
 	// minCompletionRate is the rate, in responses per second, below which no queueing delay is estimated: an estimate
 	// from too few responses would reject requests falsely.
 	minCompletionRate = 3.0
+	// leavingRetention is how long a leaving upstream is remembered after it has left the view, so that it isn't used if the
+	// store lists it again.
+	leavingRetention = time.Minute
 	// maxCachedOrders bounds the keys whose rendezvous order is cached per service.
 	maxCachedOrders = 2048
 	// minRetryAfter and maxRetryAfter bound the delay that rejected callers are told to wait.
@@ -81,6 +84,9 @@
 	ejectedUntil  time.Time
 	// localColdUntil is the end of the slow start that this entry applies after an ejection.
 	localColdUntil time.Time
+	// leavingSince is when a response first said that the upstream is leaving; zero if none has. It holds until the
+	// upstream starts again.
+	leavingSince time.Time
 	// limit is the rate in requests per second that the upstream takes from all entries together by its latest response;
 	// zero for none.
 	limit float64
@@ -97,6 +103,11 @@
 	return &state{upstream: upstream, cachedObjects: make(map[uint64]time.Time)}
 }
 
+// isLeaving reports whether the store or the upstream itself says that it is leaving.
+func (u *state) isLeaving() bool {
+	return u.upstream.State != eelgrassbeam.InstanceLive || !u.leavingSince.IsZero()
+}
+
 func (u *state) slots() int { return max(u.upstream.Slots, 1) }
 
 // load estimates the number of requests at the upstream: this entry's own count plus the other entries' requests
--- a/request.go
+++ b/request.go
@@ -156,6 +156,8 @@
 type Notice struct {
 	// Limit is the number of requests per second that it takes from all entries together; zero for no limit.
 	Limit float64
+	// IsLeaving reports whether it accepts no new requests, since it is leaving.
+	IsLeaving bool
 }
 
 // SiteLoad is the load of a site as counted by its dispatcher. Package upstream also uses it for the load that one
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -59,6 +59,8 @@
 	Load string
 	// Limit names the response header with the requests per second that the upstream takes from all entries together.
 	Limit string
+	// Leaving names the response header that is "1" in responses of an upstream that is leaving.
+	Leaving string
 	// AcceptUnframed accepts responses without a length, whose end is the close of the connection.
 	AcceptUnframed bool
 }
--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -13,7 +13,11 @@
 
 // parseNotice returns what the upstream says of itself in a response. Invalid values count as missing.
 func (c *Client) parseNotice(header http.Header) *eelgrassbeam.Notice {
-	return &eelgrassbeam.Notice{Limit: parseLimit(header, c.config.Dialect.Limit)}
+	leaving := c.config.Dialect.Leaving
+	return &eelgrassbeam.Notice{
+		Limit:     parseLimit(header, c.config.Dialect.Limit),
+		IsLeaving: isTrue(header, HeaderLeaving) || leaving != "" && header.Get(leaving) == "1",
+	}
 }
 
 // parseLimit returns the limit in the named header, zero for none.
