picker: send nothing to an upstream before the time that its Retry-After names

Cause: a rejection only raised the estimated load for a moment, and only whole seconds were parsed, for the callers of the product's own interface.

The upstream is no candidate until then, seconds with a fraction included, an hour at most. If all that could serve a request have asked for a pause, it waits where the first pause ends in time for it; else it is rejected at once with that time as Retry-After.

--- a/directserver/signals_test.go
+++ b/directserver/signals_test.go
@@ -133,3 +133,20 @@
 	is.Equal(reached.countAfter(left), 0)
 	is.Equal(statuses[http.StatusOK], total(statuses))
 }
+
+// Guards against requests to an upstream that has asked for a pause, fractions of a second included.
+func TestUpstreamGetsNoRequestsUntilItsRetryAfter(t *testing.T) {
+	const pause = 2500 * time.Millisecond
+	s, reached := newSignallingCluster(t, 1, func(w http.ResponseWriter, _ http.Handler, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set(platform.HeaderNotExecuted, "full")
+		w.Header().Set("Retry-After", "2.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	statuses := s.load(t, 20, 2*pause)
+	is := is.New(t)
+	first := reached.times[0].Add(500 * time.Millisecond)
+	is.True(reached.countAfter(first) > 0)                             // it is tried again after the pause
+	is.True(reached.maxWithin(pause-500*time.Millisecond, first) <= 2) // requests on their way may arrive
+	is.Equal(statuses[http.StatusOK], total(statuses))                 // the other upstream serves them all
+}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -154,13 +154,14 @@
 	return nil, cause
 }
 
-// RetryAfter returns the delay after which a rejected caller should retry: the estimated queueing delay of the job or
-// the service's mean service time, whichever is longer, bounded by minRetryAfter and maxRetryAfter.
+// RetryAfter returns the delay after which a rejected caller should retry: the longest of the estimated queueing delay of
+// the job, the pause that all usable upstreams have asked for and the service's mean service time, bounded by
+// minRetryAfter and maxRetryAfter.
 func (p *Picker) RetryAfter(job Job) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.service(job.Service)
-	return min(max(p.estimatedWait(s, job), s.serviceTime, minRetryAfter), maxRetryAfter)
+	return min(max(p.estimatedWait(s, job), p.pauseWait(s, job, p.config.Clock.Now()), s.serviceTime, minRetryAfter), maxRetryAfter)
 }
 
 // ServiceTime returns the mean service time of the route's recent requests; zero before the first response.
@@ -188,12 +189,16 @@
 	return max(wait, time.Duration(float64(ahead)/perSecond*float64(time.Second)))
 }
 
-// tryAcquire returns a slot, nil if the request should wait for one, or ErrNoUpstream. A request also waits if a full
+// tryAcquire returns a slot, nil if the request should wait for one, or ErrNoUpstream. A request waits for the end of a
+// pause before StartBy if all usable upstreams have asked for one. A request also waits if a full
 // upstream that may be overcommitted is estimated to respond sooner than any free one and a Refresh before StartBy
 // can still assign a slot. The caller must hold p.mu.
 func (p *Picker) tryAcquire(s *service, job Job, now time.Time) (*Slot, error) {
 	candidates := p.candidates(s, job, now)
 	if len(candidates) == 0 {
+		if wait := p.pauseWait(s, job, now); wait > 0 && now.Add(wait).Before(job.StartBy) {
+			return nil, nil
+		}
 		return nil, ErrNoUpstream
 	}
 	var best, fullOvercommit *candidate
@@ -261,11 +266,35 @@
 
 // isEligible reports whether the upstream may be selected for the job, whatever its load.
 func (p *Picker) isEligible(u *state, job Job, now time.Time) bool {
+	return !now.Before(u.pausedUntil) && p.isUsable(u, job, now)
+}
+
+// isUsable reports whether the upstream may be selected for the job, now or after the pause that it asked for.
+func (p *Picker) isUsable(u *state, job Job, now time.Time) bool {
 	return !u.isLeaving() && !u.isEjected(now) && !u.isEvacuated &&
 		job.Route.Allows(u.upstream.Region) && !slices.Contains(job.Tried, u.upstream.ID) &&
 		p.mayUse(u, now)
 }
 
+// pauseWait returns the time until the first upstream may be selected for the job if all that are usable have asked for a
+// pause; zero if one has not, or if none is usable. The caller must hold p.mu.
+func (p *Picker) pauseWait(s *service, job Job, now time.Time) time.Duration {
+	var wait time.Duration
+	for _, u := range s.upstreams {
+		if !p.isUsable(u, job, now) {
+			continue
+		}
+		left := u.pausedUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if wait == 0 || left < wait {
+			wait = left
+		}
+	}
+	return wait
+}
+
 // estimate sets the candidate's load, cost and hasCapacity. The cost is the estimated time to the response in
 // nanoseconds. An upstream with mayOvercommit has capacity for the selection's allowance above its slots.
 func (p *Picker) estimate(s *service, c *candidate, sel selection) {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -311,3 +311,35 @@
 		requireCandidates(t, s, 2)
 	})
 }
+
+// Guards against a rejection that names too short a time, and against one where a pause ends in time for the request.
+func TestAllUpstreamsPaused(t *testing.T) {
+	pause := func(t *testing.T, until time.Duration) (*Picker, Job) {
+		t.Helper()
+		s := newSimulation(t, 1, 1, 1)
+		s.view.Routing.Routes = []eelgrassbeam.PathRoute{*lookupRoute}
+		job := Job{Route: lookupRoute, Service: "s", Key: "1", StartBy: s.now.Add(time.Second)}
+		slot, err := s.pickers[0].Acquire(t.Context(), job)
+		is.New(t).NoErr(err)
+		slot.Observe(&eelgrassbeam.Notice{RetryAfter: until})
+		slot.Release(ResultShed, eelgrassbeam.SiteLoad{InProgress: 1, Slots: 1})
+		return s.pickers[0], job
+	}
+	t.Run("beyond the time of the request", func(t *testing.T) {
+		is := is.New(t)
+		p, job := pause(t, 3*time.Second)
+		_, err := p.Acquire(t.Context(), job)
+		is.Equal(err, ErrNoUpstream)
+		is.Equal(p.RetryAfter(job), 3*time.Second)
+	})
+	t.Run("within it", func(t *testing.T) {
+		is := is.New(t)
+		p, job := pause(t, 300*time.Millisecond)
+		slot, err := p.tryAcquire(p.service("s"), job, p.config.Clock.Now())
+		is.NoErr(err)
+		is.Equal(slot, nil)
+		slot, err = p.tryAcquire(p.service("s"), job, p.config.Clock.Now().Add(300*time.Millisecond))
+		is.NoErr(err)
+		is.True(slot != nil)
+	})
+}
--- a/picker/slot.go
+++ b/picker/slot.go
@@ -78,6 +78,9 @@
 		s.state.leavingSince = now
 		s.logNotice("upstream_leaving", logrus.Fields{})
 	}
+	if until := now.Add(notice.RetryAfter); until.After(s.state.pausedUntil) {
+		s.state.pausedUntil = until
+	}
 }
 
 func (s *Slot) observeLimit(limit float64, now time.Time) {
--- a/picker/state.go
+++ b/picker/state.go
@@ -87,6 +87,8 @@
 	// leavingSince is when a response first said that the upstream is leaving; zero if none has. It holds until the
 	// upstream starts again.
 	leavingSince time.Time
+	// pausedUntil is the time until which the upstream wants no requests from this entry.
+	pausedUntil time.Time
 	// limit is the rate in requests per second that the upstream takes from all entries together by its latest response;
 	// zero for none.
 	limit float64
--- a/request.go
+++ b/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // Request is a caller's request as it is sent between entries.
@@ -158,6 +159,9 @@
 	Limit float64
 	// IsLeaving reports whether it accepts no new requests, since it is leaving.
 	IsLeaving bool
+	// RetryAfter is how long it wants no further requests from this entry, if it rejected the request; zero if it doesn't
+	// say.
+	RetryAfter time.Duration
 }
 
 // SiteLoad is the load of a site as counted by its dispatcher. Package upstream also uses it for the load that one
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -228,7 +228,7 @@
 	conn.idleTimeout = keepAliveTimeout(response.Header.Get("Keep-Alive"), c.config.IdleTimeout)
 	reply, err = c.receive(ctx, conn, response, request, limits)
 	if c.isFromUpstream(response, request.ID, limits) {
-		reply.Load, reply.Notice = c.parseLoad(response.Header), c.parseNotice(response.Header)
+		reply.Load, reply.Notice = c.parseLoad(response.Header), c.parseNotice(response)
 	}
 	if err != nil && reply.Outcome == "" {
 		reply = eelgrassbeam.Unknown(request.ID, reasonFor(ctx, err))
--- a/upstream/notice_test.go
+++ b/upstream/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -37,6 +38,15 @@
 			is.New(t).Equal(*exchangeNotice(t, http.StatusOK, map[string]string{"X-Leaving": value}), eelgrassbeam.Notice{IsLeaving: want})
 		})
 	}
+	for value, want := range map[string]time.Duration{
+		"2": 2 * time.Second, "0.25": 250 * time.Millisecond, "1e400": 0, "1e300": maxRetryAfter, "0": 0, "-1": 0, "NaN": 0, "soon": 0,
+	} {
+		t.Run("retry after "+value, func(t *testing.T) {
+			header := map[string]string{"Retry-After": value, "X-Not-Run": "full"}
+			is.New(t).Equal(*exchangeNotice(t, http.StatusServiceUnavailable, header), eelgrassbeam.Notice{RetryAfter: want})
+			is.New(t).Equal(*exchangeNotice(t, http.StatusOK, header), eelgrassbeam.Notice{})
+		})
+	}
 	t.Run("a rejection has one too", func(t *testing.T) {
 		notice := exchangeNotice(t, http.StatusServiceUnavailable, map[string]string{"X-Not-Run": "full", "X-Leaving": "1", "X-Limit": "3"})
 		is.New(t).Equal(*notice, eelgrassbeam.Notice{Limit: 3, IsLeaving: true})
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -8,8 +8,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
-	"time"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
@@ -158,8 +156,8 @@
 
 func shedReply(response *http.Response, id eelgrassbeam.RequestID) eelgrassbeam.Reply {
 	reply := eelgrassbeam.NotRun(id, eelgrassbeam.ReasonUpstreamRefused)
-	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && seconds > 0 {
-		reply = reply.WithRetryAfter(eelgrassbeam.Duration{Duration: time.Duration(seconds) * time.Second})
+	if delay := parseRetryAfter(response.Header); delay > 0 {
+		reply = reply.WithRetryAfter(eelgrassbeam.Duration{Duration: delay})
 	}
 	if isTrue(response.Header, HeaderLeaving) {
 		reply.Header = http.Header{HeaderLeaving: {"true"}}
