upstream: carry no request on a connection that has carried its ID

Another operator's report: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that had run. The ID check tells responses of other requests apart; it can't where a request comes again with the ID that it had, as from a caller that repeats IDs: the client took the earlier rejection for the response to the second request, which the upstream ran. In an entry no way of its own to such a repetition is known, since upstreams that were tried aren't chosen again.

A connection remembers the hashes of its latest 32 requests and isn't used for one of them; a response that is older than that many exchanges would have met one with another ID and ended the connection.

TestRepeatedRejection red before (status 503 taken), green after.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -194,7 +194,7 @@
 	}
 	upstreamPool := c.pool(target)
 	for fresh := false; ; fresh = true {
-		conn, err := upstreamPool.acquire(ctx, limits.Connections, fresh)
+		conn, err := upstreamPool.acquire(ctx, request.ID, limits.Connections, fresh)
 		if err != nil {
 			return eelgrassbeam.NotRun(request.ID, reasonFor(ctx, err)), err
 		}
@@ -214,6 +214,7 @@
 	if err != nil {
 		return eelgrassbeam.NotRun(request.ID, reasonFor(ctx, err)), false, err
 	}
+	conn.carry(request.ID)
 	conn.tracked.beginExchange(limits.ProgressTimeout)
 	response, err := conn.http.RoundTrip(outgoing)
 	if err != nil {
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -3,11 +3,20 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
+// rememberedRequests is the number of latest requests on a connection whose IDs it doesn't carry again: a repeated response
+// to an earlier one could not be told from the response to the later one.
+const rememberedRequests = 32
+
 // connection is an HTTP/1.1 connection that carries one exchange at a time.
 type connection struct {
 	http      *http.ClientConn
@@ -16,6 +25,21 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may be idle before it is no longer reused.
 	idleTimeout time.Duration
+	// requests are the hashes of the latest request IDs, the oldest first.
+	requests []uint64
+}
+
+// hasCarried reports whether one of the latest requests on the connection had the ID.
+func (c *connection) hasCarried(id eelgrassbeam.RequestID) bool {
+	return slices.Contains(c.requests, xxhash.Sum64String(string(id)))
+}
+
+// carry records that the connection carries a request with the ID.
+func (c *connection) carry(id eelgrassbeam.RequestID) {
+	if len(c.requests) >= rememberedRequests {
+		c.requests = slices.Delete(c.requests, 0, 1)
+	}
+	c.requests = append(c.requests, xxhash.Sum64String(string(id)))
 }
 
 // keepAliveTimeout returns how long a connection may be idle, at most maximum. It is two thirds of the timeout in the
--- a/upstream/fault_test.go
+++ b/upstream/fault_test.go
@@ -146,6 +146,35 @@
 
 // TestLateResponse guards against a response that arrives after its request's deadline being returned for the next
 // request on the same connection.
+// Guards against an earlier rejection, written once more on a kept connection, being taken for the response to a request
+// that has the same ID and runs.
+func TestRepeatedRejection(t *testing.T) {
+	is := is.New(t)
+	const rejection = "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r1\r\nX-Not-Run: full\r\nContent-Length: 0\r\n\r\n"
+	var rejecting net.Conn // the connection of the first request
+	target, counter := serveRaw(t, func(conn net.Conn, r *http.Request) {
+		if rejecting == nil {
+			rejecting = conn
+			_, _ = io.WriteString(conn, rejection)
+			return
+		}
+		if conn == rejecting {
+			_, _ = io.WriteString(conn, rejection)
+		}
+		writeResponse(conn, r.Header.Get(HeaderRequestID), "done", 4)
+	})
+	c := newClient(t)
+	c.config.Dialect.NotRun = "X-Not-Run"
+	reply, err := c.Exchange(testContext(t), target, newPost("r1", ""), testLimits)
+	is.True(errors.Is(err, ErrShed))
+	assertOutcome(t, reply, eelgrassbeam.OutcomeNotRun, eelgrassbeam.ReasonUpstreamRefused)
+	is.Equal(len(c.pool(target).idle), 1) // the connection is kept
+	reply, err = c.Exchange(testContext(t), target, newPost("r1", ""), testLimits)
+	is.NoErr(err)
+	assertOutcome(t, reply, eelgrassbeam.OutcomeAnswered, "")
+	is.Equal(counter.count("r1"), 2)
+}
+
 func TestLateResponse(t *testing.T) {
 	is := is.New(t)
 	ctx := newExpiringContext(t)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,10 +24,11 @@
 	retired bool
 }
 
-// acquire returns the most recently used idle connection or opens a new one. If fresh is set, it closes the idle
-// connections and opens a new one. It returns ErrConnectionLimit if limit connections are already open.
-func (p *pool) acquire(ctx context.Context, limit int, fresh bool) (*connection, error) {
-	if idle := p.takeIdle(fresh); idle != nil {
+// acquire returns the most recently used idle connection that hasn't carried the request, or opens a new one. If fresh is
+// set, it closes the idle connections and opens a new one. It returns ErrConnectionLimit if limit connections are
+// already open.
+func (p *pool) acquire(ctx context.Context, id eelgrassbeam.RequestID, limit int, fresh bool) (*connection, error) {
+	if idle := p.takeIdle(id, fresh); idle != nil {
 		return idle, nil
 	}
 	if !p.reserve(limit) {
@@ -40,7 +42,7 @@
 	return conn, nil
 }
 
-func (p *pool) takeIdle(fresh bool) *connection {
+func (p *pool) takeIdle(id eelgrassbeam.RequestID, fresh bool) *connection {
 	if fresh {
 		p.closeIdle(0)
 		return nil
@@ -48,14 +50,14 @@
 	p.closeIdle(p.client.config.IdleTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i, conn := range slices.Backward(p.idle) {
+		if !conn.hasCarried(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			conn.reused = true
+			return conn
+		}
 	}
-	last := len(p.idle) - 1
-	conn := p.idle[last]
-	p.idle = p.idle[:last]
-	conn.reused = true
-	return conn
+	return nil
 }
 
 func (p *pool) reserve(limit int) bool {
