viewer: hand on evacuations that are kept because the store is away

Cause: what is handed on was decided by the clock alone, what is kept by the clock and the state of the store. An entry whose store is away hands such an evacuation on for the time after which a failing store counts as away; from then on the receiver keeps it itself.

--- a/viewer/evacuation.go
+++ b/viewer/evacuation.go
@@ -91,20 +91,27 @@
 	}
 }
 
-// addEvacuations adds the zones whose evacuations are in the store and the retentions of those that it lacks. The caller
+// addEvacuations adds the zones whose evacuations are in the store and the retentions of those that it lacks. One that
+// is kept beyond its end, since the latest call failed, goes on for the time in which the store counts as away. The caller
 // must hold v.mu.
 func (v *Viewer) addEvacuations(state *gossiper.State) {
 	now := v.config.Clock.Now()
 	for zone, until := range v.evacuations {
-		switch {
-		case until.IsZero():
+		if until.IsZero() {
 			state.Evacuated = append(state.Evacuated, zone)
-		case now.Before(until):
-			if state.RetainedFor == nil {
-				state.RetainedFor = make(map[eelgrassbeam.ZoneID]time.Duration)
-			}
-			state.RetainedFor[zone] = until.Sub(now)
+			continue
+		}
+		remaining := until.Sub(now)
+		if remaining <= 0 && v.wasStoreAway {
+			remaining = outageThreshold
+		}
+		if remaining <= 0 {
+			continue
+		}
+		if state.RetainedFor == nil {
+			state.RetainedFor = make(map[eelgrassbeam.ZoneID]time.Duration)
 		}
+		state.RetainedFor[zone] = remaining
 	}
 	slices.Sort(state.Evacuated)
 }
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -87,6 +87,8 @@
 	isSynced bool
 	// isCalling reports whether this entry calls the store at present, storeFailed whether the latest call failed.
 	isCalling, storeFailed bool
+	// wasStoreAway reports whether the store was away at the latest sweep.
+	wasStoreAway bool
 	// tombstonesSince is the store revision from which the tombstones are complete.
 	tombstonesSince eelgrassbeam.Revision
 	// routingValue is the stored form of the current routing.
@@ -196,6 +198,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	isStoreAway := v.isStoreAway(zoneReachesStore)
+	v.wasStoreAway = isStoreAway
 	v.expireEvacuations(isStoreAway)
 	now, changed := v.config.Clock.Now(), false
 	for id, tracked := range v.upstreams {
