gossiper: notice a peer that doesn't respond before a pull from it

A pull has had 5 s since, as a large configuration needs it on a slow link; from peers that had frozen or were cut off it would have lasted as long where it was 0.8 s before, and two of them would have kept an entry from pulling elsewhere meanwhile. A small exchange of revisions, with the time of a small call, now shows first whether the peer responds.

TestPullFromFrozenPeers (two frozen peers with open connections, then one that responds; bound 3 s) red before, 5.0 s, green after, 0.8 s.

--- a/gossiper/pull.go
+++ b/gossiper/pull.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
@@ -115,19 +117,19 @@
 	return append(randomOf(ready), target.address)[0]
 }
 
+// pull fetches the state that the peer has and this entry lacks. A small call shows first whether the peer responds, since
+// the transfer itself may take long.
 func (g *Gossiper) pull(ctx context.Context, address netip.AddrPort) {
-	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
 	conn, err := g.config.Pool.Conn(address)
 	if err != nil {
 		g.config.Log.WithFields(logrus.Fields{"event": "pull_failed", "address": address, "error": err}).Warn("")
 		return
 	}
 	before, started := g.config.Replica.Revisions(), g.config.Clock.Now()
-	state, err := peer.Call[State](callCtx, conn, Service, methodPull, &before, peer.Compressed())
+	state, err := g.transfer(ctx, conn, before)
 	if err != nil {
 		g.recordTransfer(operationPull, started, 0, err)
-		if callCtx.Err() != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
 			g.config.Pool.Evict(address, conn)
 		}
 		g.config.Log.WithFields(logrus.Fields{"event": "pull_failed", "address": address, "error": err}).Warn("")
@@ -145,3 +147,20 @@
 		}
 	}
 }
+
+// transfer returns the peer's state after the given revisions. Its error wraps context.DeadlineExceeded if the peer didn't
+// respond within callTimeout, or the state didn't arrive within pullTimeout.
+func (g *Gossiper) transfer(ctx context.Context, conn *grpc.ClientConn, since Revisions) (*State, error) {
+	probeCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := peer.Call[digest](probeCtx, conn, Service, methodExchange, &digest{From: g.config.Self.ID, Revisions: since}); err != nil {
+		return nil, errors.Join(err, probeCtx.Err())
+	}
+	pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	state, err := peer.Call[State](pullCtx, conn, Service, methodPull, &since, peer.Compressed())
+	if err != nil {
+		return nil, errors.Join(err, pullCtx.Err())
+	}
+	return state, nil
+}
--- a/gossiper/pull_test.go
+++ b/gossiper/pull_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,6 +62,14 @@
 }
 
 func newTestEntry(t testing.TB, id eelgrassbeam.EntryID, zone eelgrassbeam.ZoneID, revisions Revisions) *testEntry {
+	t.Helper()
+	return newTestEntryOn(t, id, zone, revisions, func(listener net.Listener) net.Listener { return listener })
+}
+
+// newTestEntryOn is newTestEntry with a wrapper of the listener.
+func newTestEntryOn(
+	t testing.TB, id eelgrassbeam.EntryID, zone eelgrassbeam.ZoneID, revisions Revisions, wrap func(net.Listener) net.Listener,
+) *testEntry {
 	t.Helper()
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
@@ -77,7 +86,7 @@
 	e.Register(server)
 	ctx, cancel := context.WithCancel(t.Context())
 	var group errgroup.Group
-	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error { return server.Serve(wrap(listener)) })
 	group.Go(func() error { return e.catchUp(ctx) })
 	t.Cleanup(func() {
 		cancel()
@@ -183,3 +192,67 @@
 		third.requireRevisions(t, newer)
 	})
 }
+
+// freezableConn is a connection that reads nothing once its entry is frozen.
+type freezableConn struct {
+	net.Conn
+	frozen *atomic.Bool
+	done   <-chan struct{}
+}
+
+func (c freezableConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.frozen.Load() {
+		<-c.done
+	}
+	return n, err
+}
+
+// freezableListener accepts freezableConns.
+type freezableListener struct {
+	net.Listener
+	frozen *atomic.Bool
+	done   <-chan struct{}
+}
+
+func (l freezableListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return freezableConn{Conn: conn, frozen: l.frozen, done: l.done}, err
+}
+
+// newFreezableEntry returns an entry that stops responding, on open connections too, once the returned flag is set.
+func newFreezableEntry(t *testing.T, id eelgrassbeam.EntryID, revisions Revisions) (*testEntry, *atomic.Bool) {
+	t.Helper()
+	frozen := &atomic.Bool{}
+	return newTestEntryOn(t, id, "z1", revisions, func(listener net.Listener) net.Listener {
+		return freezableListener{Listener: listener, frozen: frozen, done: t.Context().Done()}
+	}), frozen
+}
+
+// Guards against peers that stop responding delaying the pull of a configuration for as long as a large transfer may take.
+func TestPullFromFrozenPeers(t *testing.T) {
+	const bound = 3 * time.Second // by when a configuration must be in force
+	older, newer := Revisions{RoutingVersion: 5, Upstreams: 5, Evacuated: 2}, Revisions{RoutingVersion: 6, Upstreams: 5, Evacuated: 2}
+	ahead, behind := newTestEntry(t, "a", "z1", newer), newTestEntry(t, "b", "z1", older)
+	var frozen []*testEntry
+	for _, id := range []eelgrassbeam.EntryID{"c", "d"} {
+		e, freeze := newFreezableEntry(t, id, newer)
+		behind.exchange(t.Context(), e.address()) // opens the connection
+		for len(behind.pullTargets) > 0 {
+			<-behind.pullTargets
+		}
+		behind.replica.set(older)
+		freeze.Store(true)
+		frozen = append(frozen, e)
+	}
+	behind.replica.set(older)
+	started := time.Now()
+	for _, e := range frozen {
+		behind.requestPull(e.address(), newer)
+		<-time.After(10 * time.Millisecond) // the pull starts
+		behind.clock.Advance(hedgeDelay)
+	}
+	behind.requestPull(ahead.address(), newer)
+	behind.requireRevisions(t, newer)
+	is.New(t).True(time.Since(started) < bound)
+}
