--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -135,8 +135,8 @@
 	}
 	f.store = store
 	f.buildView()
-	f.registerVersion()
 	f.buildRequests()
+	f.registerState()
 	f.buildServers()
 	if disableGuards != nil {
 		disableGuards(f)
@@ -170,18 +170,6 @@
 	})
 }
 
-// registerVersion registers the metric of the configuration in force.
-func (s *Server) registerVersion() {
-	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "eelgrassbeam_configuration_version", Help: "Version of the configuration in force; zero without one.",
-	}, func() float64 {
-		if routing := s.viewer.View().Routing; routing != nil {
-			return float64(routing.Version)
-		}
-		return 0
-	}))
-}
-
 func (s *Server) buildRequests() {
 	s.picker = picker.New(picker.Config{
 		Self: s.self, Clock: s.config.Clock, Log: s.log, Views: s.viewer, Entries: s.gossiper.LiveIDs,
--- a/directserver/signals_test.go
+++ b/directserver/signals_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -68,6 +69,18 @@
 	return s, reached
 }
 
+// metric returns the value of the entry's metric with the given name and labels; empty if there is none.
+func (e *testEntry) metric(t *testing.T, name string) string {
+	t.Helper()
+	_, text := fetch(t, http.MethodGet, "http://"+e.settings.MetricsAddress.String()+"/metrics", "", "")
+	for line := range strings.Lines(text) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
+
 // load sends requests with many keys to all entries, each at the given rate per second, and returns the numbers of answers
 // by status.
 func (s *testCluster) load(t *testing.T, perSecond int, duration time.Duration) map[int]int {
@@ -107,7 +120,9 @@
 	statuses := s.load(t, 8, learningTime+6*time.Second)
 	is := is.New(t)
 	is.True(reached.maxWithin(4*time.Second, learned) <= 1.5*4*limit+5)
-	is.True(reached.countAfter(learned) > 0)           // the limit is used
+	is.True(reached.countAfter(learned) > 0) // the limit is used
+	is.Equal(s.entries[0].metric(t, `eelgrassbeam_upstream_notices{kind="limit"}`), "1")
+	is.Equal(s.entries[0].metric(t, "eelgrassbeam_configuration_version"), "1")
 	is.Equal(statuses[http.StatusOK], total(statuses)) // the other upstream serves the rest
 }
 
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -164,6 +164,21 @@
 	return min(max(p.estimatedWait(s, job), p.pauseWait(s, job, p.config.Clock.Now()), s.serviceTime, minRetryAfter), maxRetryAfter)
 }
 
+// CountNotices returns the number of upstreams in the view that say so of themselves.
+func (p *Picker) CountNotices(kind NoticeKind) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, count := p.config.Clock.Now(), 0
+	for _, s := range p.services {
+		for _, u := range s.upstreams {
+			if slices.Contains(u.notices(now), kind) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // ServiceTime returns the mean service time of the route's recent requests; zero before the first response.
 func (p *Picker) ServiceTime(route *eelgrassbeam.PathRoute) time.Duration {
 	p.mu.Lock()
--- a/picker/slot.go
+++ b/picker/slot.go
@@ -28,6 +28,22 @@
 	ResultAbandoned Result = "abandoned"
 )
 
+// NoticeKind is a kind of what an upstream says of itself in its responses.
+type NoticeKind string
+
+// Kinds of notices.
+const (
+	// NoticeLimit is a limit of the request rate of all entries together.
+	NoticeLimit NoticeKind = "limit"
+	// NoticeLeaving is the end of the upstream.
+	NoticeLeaving NoticeKind = "leaving"
+	// NoticePause is a time for which the upstream wants no requests from this entry.
+	NoticePause NoticeKind = "pause"
+)
+
+// NoticeKinds are all kinds of notices.
+var NoticeKinds = []NoticeKind{NoticeLimit, NoticeLeaving, NoticePause}
+
 // Slot is a request's reservation at an upstream, held until Release.
 type Slot struct {
 	Upstream eelgrassbeam.Upstream
--- a/picker/state.go
+++ b/picker/state.go
@@ -110,6 +110,21 @@
 	return u.upstream.State != eelgrassbeam.InstanceLive || !u.leavingSince.IsZero()
 }
 
+// notices returns what the upstream says of itself at present.
+func (u *state) notices(now time.Time) []NoticeKind {
+	var kinds []NoticeKind
+	if u.limit > 0 {
+		kinds = append(kinds, NoticeLimit)
+	}
+	if !u.leavingSince.IsZero() {
+		kinds = append(kinds, NoticeLeaving)
+	}
+	if now.Before(u.pausedUntil) {
+		kinds = append(kinds, NoticePause)
+	}
+	return kinds
+}
+
 func (u *state) slots() int { return max(u.upstream.Slots, 1) }
 
 // load estimates the number of requests at the upstream: this entry's own count plus the other entries' requests
