platform: mark objects that a watch can't read instead of leaving them to each reader

The claims of idempotency keys and the relayed configuration of the product's own interface read the same watches as the platform's sinks. Found by reading the diff.

--- a/deduplicator/claim_view.go
+++ b/deduplicator/claim_view.go
@@ -134,6 +134,9 @@
 // apply adds changes that follow the view's revision.
 func (v *claimView) apply(events eelgrassbeam.ObjectEvents) {
 	for _, event := range events.Events {
+		if event.IsUnreadable {
+			continue // the known claim still counts
+		}
 		v.remove(event.Object.Name)
 		if !event.Deleted {
 			v.add(event.Object)
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -93,7 +93,7 @@
 		return false, err
 	}
 	for _, event := range events.Events {
-		isNew = !event.Deleted && r.offerObject(event.Object) || isNew
+		isNew = !event.Deleted && !event.IsUnreadable && r.offerObject(event.Object) || isNew
 	}
 	*revision = max(*revision, events.Revision)
 	return isNew, nil
--- a/store.go
+++ b/store.go
@@ -18,6 +18,8 @@
 type ObjectEvent struct {
 	Object  Object `json:"object"`
 	Deleted bool   `json:"deleted,omitempty"`
+	// IsUnreadable reports that the object can't be decoded; it has a name, but no value.
+	IsUnreadable bool `json:"-"`
 }
 
 // ObjectList holds all objects of one kind at a revision.
