--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -48,10 +48,10 @@
 	callTimeout = 800 * time.Millisecond
 	// pullTimeout bounds a pull, whose duration depends on the size of the state and the speed of the link.
 	pullTimeout = 5 * time.Second
-	// hedgeDelay is how long a pull may take before another one from a different peer starts beside it.
+	// hedgeDelay is how long a pull may take before another one may start beside it, and maxPulls how many may be in
+	// progress.
 	hedgeDelay = callTimeout
-	// maxPulls is the number of pulls in progress.
-	maxPulls = 2
+	maxPulls   = 2
 	// maxPushedRoutingBytes is the size up to which the routing is pushed. A larger one is announced, and each receiver
 	// pulls it once, however many peers hold it.
 	maxPushedRoutingBytes = 16 << 10
--- a/picker/slot.go
+++ b/picker/slot.go
@@ -94,8 +94,9 @@
 		s.state.leavingSince = now
 		s.logNotice("upstream_leaving", logrus.Fields{})
 	}
-	if until := now.Add(notice.RetryAfter); until.After(s.state.pausedUntil) {
+	if until := now.Add(notice.RetryAfter); notice.RetryAfter > 0 && until.After(s.state.pausedUntil) {
 		s.state.pausedUntil = until
+		s.logNotice("upstream_paused", logrus.Fields{"pause_ms": notice.RetryAfter.Milliseconds()})
 	}
 }
 
