test: pace loads with a ticker and poll without time.Sleep

The load of the tests of upstreams' signals slept between requests, so that its rate fell with the time that starting one takes; a ticker keeps it.

--- a/directserver/signals_test.go
+++ b/directserver/signals_test.go
@@ -91,7 +91,8 @@
 	for i, e := range s.entries {
 		group.Go(func() error {
 			var requests errgroup.Group
-			started := time.Now()
+			started, pace := time.Now(), time.NewTicker(time.Second/time.Duration(perSecond))
+			defer pace.Stop()
 			for n := 0; time.Since(started) < duration; n++ {
 				requests.Go(func() error {
 					status, _ := e.post(t, "/v1/x", fmt.Sprintf("%d-%d-%d", started.UnixNano(), i, n))
@@ -100,7 +101,7 @@
 					statuses[status]++
 					return nil
 				})
-				time.Sleep(time.Second / time.Duration(perSecond))
+				<-pace.C
 			}
 			return requests.Wait()
 		})
--- a/gossiper/transfer_test.go
+++ b/gossiper/transfer_test.go
@@ -205,7 +205,7 @@
 		if time.Now().After(deadline) {
 			t.Fatalf("after %s: %s", within, missing())
 		}
-		time.Sleep(10 * time.Millisecond)
+		<-time.After(10 * time.Millisecond)
 	}
 }
 
@@ -266,7 +266,7 @@
 				watcher.view.UpdateRouting(value, eelgrassbeam.Revision(version), "test")
 			}
 			if version == 2 {
-				time.Sleep(changeInterval)
+				<-time.After(changeInterval)
 			}
 		}
 		requireVersion(t, entries, 3)
