--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -15,6 +15,7 @@
 
 // scenarios are the cases by name. A scenario returns whether the rule was broken.
 var scenarios = map[string]func(r *record, hasTrouble bool) (bool, error){
+	"expect": playExpect,
 	"linger": playLinger,
 	"paths":  playPaths,
 }
