review: case 5, an entry without watchers acts on an old configuration

With three entries in one zone, two watch the store. When both lose power at the ack of a new desired state, the third uses the old one for up to 3.0 s, since it takes 3 s to count them as failed; config is 2.5 s.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,7 @@
 	"expect": playExpect,
 	"linger": playLinger,
 	"paths":  playPaths,
+	"blind":  playBlind,
 }
 
 func main() {
