review: case 3, requests to upstreams that left while watches are silent

The open connections to the store go silent, and 3.1 s later upstreams report that they leave. Entries, in touch again, notice a silent watch only at its end, 4 to 10 s after its start, and go on sending requests to these upstreams.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,6 +17,7 @@
 var scenarios = map[string]func(r *record, hasTrouble bool) (bool, error){
 	"expect": playExpect,
 	"linger": playLinger,
+	"silent": playSilent,
 	"paths":  playPaths,
 	"blind":  playBlind,
 }
