--- a/review/harness/paths.go
+++ b/review/harness/paths.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// playPaths sends requests whose path holds both an escaped slash and a character that browsers send as it is. UNASKED is
-// broken if an upstream runs one with another path.
+// playPaths sends requests whose path holds both an escaped slash and |, which browsers don't escape. UNASKED is broken if an
+// upstream runs one with another path.
 func playPaths(r *record, hasTrouble bool) (bool, error) {
 	w, err := newWorld(r, map[string]string{"quito-a": "sierra-norte"})
 	if err != nil {
@@ -31,10 +31,10 @@
 	}
 	changed := 0
 	for i, path := range []string{
-		"/lookup/tea%2Fgreen|4", "/lookup/table%2F4^5", "/lookup/..%2Fseat%2F4|", "/lookup/caf%C3%A9%2F1|2", "/seat/hall%2F2|window",
+		"/lookup/tea%2Fgreen|4", "/lookup/table%2F4|5", "/lookup/..%2Fseat%2F4|", "/lookup/caf%C3%A9%2F1|2", "/seat/hall%2F2|window",
 	} {
 		if !hasTrouble { // the same name, escaped throughout
-			path = strings.NewReplacer("|", "%7C", "^", "%5E").Replace(path)
+			path = strings.ReplaceAll(path, "|", "%7C")
 		}
 		method := "GET"
 		if strings.HasPrefix(path, "/seat/") {
