Send a request's target on byte for byte

Callers saw another object named than the one they asked for: a path with %2F and a byte that net/url would escape, such as |, reached the upstream with the escaped slash as a separator. net/url drops the raw form of such a path and writes the decoded one anew. Both ways to run took the target or the path for the match of the route from a parsed URL.

Now the target is taken from the request line, matched in that form and sent as an opaque target. One that begins with two slashes and holds such a byte can't be kept by net/url and is rejected with 400. So is one whose dot segments lead to another route, since an upstream may resolve them; an escaped slash stays part of its segment.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -81,7 +81,7 @@
 func (h *Handler) parse(w http.ResponseWriter, r *http.Request) (eelgrassbeam.Request, *errorResponse) {
 	request := eelgrassbeam.Request{
 		Attempt: 1, Origin: h.config.Self.ID, OriginRegion: h.config.Self.Region,
-		Method: r.Method, Host: hostOf(r), Target: r.URL.RequestURI(),
+		Method: r.Method, Host: hostOf(r), Target: eelgrassbeam.OriginTarget(r),
 	}
 	if err := decodeHeaders(r.Header, &request); err != nil {
 		return request, reject(http.StatusBadRequest, request.ID, eelgrassbeam.ReasonBadRequest, err.Error())
@@ -95,10 +95,13 @@
 		return request, reject(http.StatusNotFound, request.ID, eelgrassbeam.ReasonNoRoute, "no service has this host")
 	}
 	request.Service = service.Name
-	route, ok := service.Route(r.Method, r.URL.EscapedPath())
+	route, ok := service.Route(r.Method, eelgrassbeam.TargetPath(request.Target))
 	if !ok {
 		return request, reject(http.StatusNotFound, request.ID, eelgrassbeam.ReasonNoRoute, "no route has this method and path")
 	}
+	if service.IsAmbiguous(r.Method, eelgrassbeam.TargetPath(request.Target)) {
+		return request, reject(http.StatusBadRequest, request.ID, eelgrassbeam.ReasonBadRequest, "dot segments lead to another route")
+	}
 	request.Rank, request.Idempotent = route.Rank, route.Idempotent
 	if request.TimeLeft.Duration == 0 {
 		request.TimeLeft = service.Policy(route.Rank).Deadline
--- a/defaults.go
+++ b/defaults.go
@@ -99,16 +99,26 @@
 
 // Route returns the first route that matches the method and the escaped path, or false if none does.
 func (s Service) Route(method, escapedPath string) (Route, bool) {
-	path := NormalizePath(escapedPath)
-	i := slices.IndexFunc(s.Routes, func(r Route) bool {
-		return (r.Method == "*" || r.Method == method) && strings.HasPrefix(path, NormalizePath(r.PathPrefix))
-	})
+	i := s.routeIndex(method, NormalizePath(escapedPath))
 	if i < 0 {
 		return Route{}, false
 	}
 	return s.Routes[i], true
 }
 
+// IsAmbiguous reports whether the path has dot segments that lead to another route than its prefix does.
+func (s Service) IsAmbiguous(method, escapedPath string) bool {
+	path := NormalizePath(escapedPath)
+	resolved := ResolveDotSegments(path)
+	return resolved != path && s.routeIndex(method, path) != s.routeIndex(method, resolved)
+}
+
+func (s Service) routeIndex(method, path string) int {
+	return slices.IndexFunc(s.Routes, func(r Route) bool {
+		return (r.Method == "*" || r.Method == method) && strings.HasPrefix(path, NormalizePath(r.PathPrefix))
+	})
+}
+
 // Policy returns the policy of the rank, or a default one if the service has none.
 func (s Service) Policy(rank Rank) RankPolicy {
 	for _, policy := range s.Ranks {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -302,7 +302,7 @@
 	}
 	routeMatcher, routing := f.matcher, f.routing
 	f.mu.Unlock()
-	route, _ := routeMatcher.Route(hostWithoutPort(r), r.URL.EscapedPath())
+	route, _ := routeMatcher.Route(hostWithoutPort(r), eelgrassbeam.TargetPath(eelgrassbeam.OriginTarget(r)))
 	return route, routeMatcher, routing
 }
 
--- a/forwarder/read.go
+++ b/forwarder/read.go
@@ -30,7 +30,7 @@
 	c.request = eelgrassbeam.Request{
 		ID: eelgrassbeam.RequestID(r.Header.Get(upstream.HeaderRequestID)), Attempt: 1,
 		Origin: f.config.Self.ID, OriginRegion: f.config.Self.Region,
-		Method: r.Method, Host: r.Host, Target: target(r), Header: r.Header,
+		Method: r.Method, Host: r.Host, Target: eelgrassbeam.OriginTarget(r), Header: r.Header,
 	}
 	route, routeMatcher, routing := f.route(r)
 	c.routing = routing
@@ -41,7 +41,8 @@
 		return c, rejection
 	case route == nil:
 		return c, f.reject(c, eelgrassbeam.ReasonNoRoute, http.StatusNotFound)
-	case c.request.ID == "", r.Method == http.MethodConnect:
+	case c.request.ID == "", r.Method == http.MethodConnect,
+		routeMatcher.IsAmbiguous(hostWithoutPort(r), eelgrassbeam.TargetPath(c.request.Target)):
 		return c, f.reject(c, eelgrassbeam.ReasonBadRequest, http.StatusBadRequest)
 	}
 	c.route = route
@@ -90,15 +91,6 @@
 	return &outcome{reply: eelgrassbeam.NotRun(c.request.ID, reason), status: status}
 }
 
-// target returns the request's target as the caller sent it, but one in absolute form in origin form: upstreams are
-// origin servers.
-func target(r *http.Request) string {
-	if r.URL.IsAbs() {
-		return r.URL.RequestURI()
-	}
-	return r.RequestURI
-}
-
 func hostWithoutPort(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.Host)
 	if err != nil {
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -46,13 +46,26 @@
 // Route returns the host's route with the longest prefix of the escaped path, or false if none matches. Path and prefix
 // may be escaped in different ways. The host may be in upper case; the hosts of routes are in lower case.
 func (m *Matcher) Route(host, escapedPath string) (*eelgrassbeam.PathRoute, bool) {
+	route := m.find(host, eelgrassbeam.NormalizePath(escapedPath))
+	return route, route != nil
+}
+
+// IsAmbiguous reports whether the path has dot segments that lead to another route than its prefix does. Upstreams may
+// resolve dot segments, so that such a request could act on what another route is for.
+func (m *Matcher) IsAmbiguous(host, escapedPath string) bool {
 	path := eelgrassbeam.NormalizePath(escapedPath)
+	resolved := eelgrassbeam.ResolveDotSegments(path)
+	return resolved != path && m.find(host, path) != m.find(host, resolved)
+}
+
+// find returns the route with the longest prefix of a normalized path, nil for none.
+func (m *Matcher) find(host, path string) *eelgrassbeam.PathRoute {
 	for _, candidate := range m.routesByHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, candidate.prefix) {
-			return candidate.route, true
+			return candidate.route
 		}
 	}
-	return nil, false
+	return nil
 }
 
 // Service returns the service of the route's next request. It selects among the shares of a split route by smooth
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -71,3 +71,17 @@
 	}
 	is.New(t).Equal(counts["b"], 100)
 }
+
+// Guards against a request that is routed by one path and run by another.
+func TestDotSegments(t *testing.T) {
+	m := New(&eelgrassbeam.Routing{Routes: []eelgrassbeam.PathRoute{
+		{Name: "lookup", Host: "a.example", PathPrefix: "/lookup/"},
+		{Name: "seat", Host: "a.example", PathPrefix: "/seat/"},
+	}})
+	for path, want := range map[string]bool{
+		"/lookup/../seat/4": true, "/lookup/%2e%2E/seat/4": true, "/lookup/..": true,
+		"/lookup/./4": false, "/lookup/a/../4": false, "/lookup/..%2Fseat%2F4|": false, "/lookup//4": false, "/lookup/%00": false,
+	} {
+		t.Run(path, func(t *testing.T) { is.New(t).Equal(m.IsAmbiguous("a.example", path), want) })
+	}
+}
--- a/path.go
+++ b/path.go
@@ -23,3 +23,27 @@
 	}
 	return strings.Join(segments, "/")
 }
+
+// ResolveDotSegments returns a normalized path without its segments "." and "..", as an upstream may read it.
+func ResolveDotSegments(normalized string) string {
+	if !strings.Contains(normalized, "/.") {
+		return normalized
+	}
+	segments := strings.Split(normalized, "/")
+	resolved := segments[:1:1]
+	for i, segment := range segments[1:] {
+		isLast := i == len(segments)-2
+		switch segment {
+		case "..":
+			resolved = resolved[:max(len(resolved)-1, 1)]
+		case ".":
+		default:
+			resolved = append(resolved, segment)
+			continue
+		}
+		if isLast {
+			resolved = append(resolved, "")
+		}
+	}
+	return strings.Join(resolved, "/")
+}
--- a/path_test.go
+++ b/path_test.go
@@ -21,6 +21,20 @@
 	}
 }
 
+func TestResolveDotSegments(t *testing.T) {
+	for _, test := range []struct{ name, path, want string }{
+		{"none", "/a/b.c/..d", "/a/b.c/..d"},
+		{"parent", "/a/../b", "/b"},
+		{"same", "/a/./b", "/a/b"},
+		{"at the end", "/a/b/..", "/a/"},
+		{"above the root", "/../../a", "/a"},
+		{"escaped slash is no separator", "/a/..%2Fb", "/a/..%2Fb"},
+		{"empty segment", "/a//../b", "/a/b"},
+	} {
+		t.Run(test.name, func(t *testing.T) { is.New(t).Equal(ResolveDotSegments(test.path), test.want) })
+	}
+}
+
 // Guards against a 404 because the path is escaped in another way than the prefix in the configuration.
 func TestEscapedServiceRoute(t *testing.T) {
 	service := Service{Routes: []Route{{Method: "*", PathPrefix: "/a%20b/"}, {Method: "*", PathPrefix: "/é/"}}}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -189,6 +190,38 @@
 	})
 }
 
+// Guards against requests that are run with another path than the caller's.
+func TestTargetIsUnchanged(t *testing.T) {
+	for _, sent := range []string{
+		"/a%2Fb|c", "/a%2fb%2Fc?q=%2f|", "/seat/hall%2F2|window", "/..%2Fx|", "/a/./b/../c", "/%2e/", "//a//b%2F", "/%00", "/é|%2F", "/a#b%2F", "/a?", "*",
+	} {
+		t.Run(sent, func(t *testing.T) { requireTargetUnchanged(t, sent) })
+	}
+	t.Run("two slashes at the start and a byte that must be escaped", func(t *testing.T) {
+		request := newPost("r1", "")
+		request.Target = "//a%2Fb|c"
+		reply, err := newClient(t).Exchange(testContext(t), upstreamAt(netip.MustParseAddrPort("192.0.2.1:80")), request, testLimits)
+		is.New(t).True(errors.Is(err, ErrTarget))
+		assertOutcome(t, reply, eelgrassbeam.OutcomeNotRun, eelgrassbeam.ReasonBadRequest)
+	})
+}
+
+// requireTargetUnchanged sends a request with the target and compares what the upstream reads.
+func requireTargetUnchanged(t *testing.T, sent string) {
+	t.Helper()
+	is := is.New(t)
+	got := make(chan string, 1)
+	target, _ := serveRaw(t, func(conn net.Conn, r *http.Request) {
+		got <- r.RequestURI
+		writeResponse(conn, r.Header.Get(HeaderRequestID), "ok", 2)
+	})
+	request := newPost("r1", "")
+	request.Target = sent
+	_, err := newClient(t).Exchange(testContext(t), target, request, testLimits)
+	is.NoErr(err)
+	is.Equal(<-got, sent)
+}
+
 func TestNotRun(t *testing.T) {
 	t.Run("refused connection", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -8,10 +8,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
@@ -73,3 +76,26 @@
 	group.Wait()
 	return reply, requests
 }
+
+// FuzzTarget compares the target that the upstream reads with the one sent, which may be refused but not changed.
+func FuzzTarget(f *testing.F) {
+	for _, seed := range []string{"/a%2Fb|c", "/%2e%2E/?a?b", "//a|%2f", "/a#b", "*"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, sent string) {
+		if _, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + sent + " HTTP/1.1\r\nHost: a\r\n\r\n"))); err != nil {
+			return // the entry has refused it
+		}
+		parsed, err := parseTarget(eelgrassbeam.Request{Method: http.MethodGet, Target: sent})
+		if err != nil {
+			return
+		}
+		var head bytes.Buffer
+		parsed.Scheme, parsed.Host = "http", "a"
+		if err := (&http.Request{Method: http.MethodGet, URL: parsed}).Write(&head); err != nil {
+			return
+		}
+		line, _, _ := strings.Cut(head.String(), "\r\n")
+		is.New(t).Equal(line, "GET "+sent+" HTTP/1.1")
+	})
+}
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -13,7 +13,8 @@
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
-// parseTarget parses a target in origin form or "*". It rejects the method CONNECT.
+// parseTarget returns a URL that is sent byte for byte as the target, which is in origin form or "*". It rejects the method
+// CONNECT.
 func parseTarget(request eelgrassbeam.Request) (*url.URL, error) {
 	if request.Method == http.MethodConnect {
 		return nil, fmt.Errorf("%w: method %s", ErrTarget, request.Method)
@@ -25,7 +26,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrTarget, err)
 	}
-	return parsed, nil
+	if parsed.RequestURI() == request.Target {
+		return parsed, nil
+	}
+	// net/url would escape the path anew, and %2F would become a slash. It can't keep two slashes at the start then.
+	if strings.HasPrefix(request.Target, "//") {
+		return nil, fmt.Errorf("%w: %q", ErrTarget, request.Target)
+	}
+	return &url.URL{Opaque: request.Target}, nil
 }
 
 // outgoing returns the request to send to the upstream. Its body can't be replayed, since GetBody is not set.
