Send interim responses in the order of responses

Callers that pipeline requests got "100 Continue" inside the body of an earlier response: the goroutine that reads requests wrote it to the socket while the one that writes responses was in the middle of one. Even between two responses it stood before those to earlier requests.

The reader now queues the interim response, and only the writer writes to the connection. None is sent to callers of HTTP/1.0 or after the last response. Searched for the same elsewhere: no other write to a caller's connection bypasses the writer; closes come from the writer, or from Close, which ends the process's connections.

--- a/httpserver/body.go
+++ b/httpserver/body.go
@@ -32,10 +32,8 @@
 	if request.ContentLength > limit {
 		return nil, &rejection{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge, request: request}
 	}
-	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil
-		}
+	if request.ProtoAtLeast(1, 1) && strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
+		c.pending <- &exchange{isInterim: true}
 	}
 	body, err := c.bufferBody(request, response, limit)
 	switch {
--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -20,6 +20,8 @@
 const (
 	readBufferBytes  = 8 << 10
 	writeBufferBytes = 8 << 10
+	// interimResponse asks the caller for the body of a request.
+	interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
 var (
@@ -55,16 +57,19 @@
 	requestStart int64
 }
 
-// exchange is a request and its response; request is nil if it could not be read.
+// exchange is a request and its response; request is nil if it could not be read. An interim one stands for the response
+// that asks for a request's body, in the place of the responses' order at which the caller expects it.
 type exchange struct {
-	request  *http.Request
-	response *responseBuffer
-	done     chan struct{}
-	isLast   bool
+	isInterim bool
+	request   *http.Request
+	response  *responseBuffer
+	done      chan struct{}
+	isLast    bool
 }
 
 func newConnection(ctx context.Context, r *Server, conn net.Conn) *connection {
-	c := &connection{server: r, conn: conn, pending: make(chan *exchange, maxPending), answered: make(chan struct{}, 1)}
+	// Each pending request and the one being read may have an interim response.
+	c := &connection{server: r, conn: conn, pending: make(chan *exchange, 2*maxPending+1), answered: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.limited = &limitedReader{conn: conn}
 	c.reader = bufio.NewReaderSize(c.limited, readBufferBytes)
@@ -281,12 +286,21 @@
 
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-// write writes responses in the order of their requests. The last one has the header Connection: close.
+// write writes responses in the order of their requests. The last one has the header Connection: close. Nothing else writes
+// to the connection: its bytes would get between those of a response.
 func (c *connection) write() {
 	writer := bufio.NewWriterSize(c.conn, writeBufferBytes)
+	hasEnded := false
 	for x := range c.pending {
+		if x.isInterim {
+			if !hasEnded && !c.writeInterim(writer) {
+				hasEnded = true
+			}
+			continue
+		}
 		<-x.done
 		isLast := c.markAnswered()
+		hasEnded = hasEnded || isLast
 		if x.response.status == 0 && c.ctx.Err() != nil {
 			// The handler has given up a cancelled request.
 			x.response.written()
@@ -300,8 +314,7 @@
 		}
 		x.response.written()
 		if err != nil {
-			c.cancel()
-			_ = c.conn.Close()
+			c.disconnect()
 			continue
 		}
 		if isLast {
@@ -311,6 +324,25 @@
 	}
 }
 
+// writeInterim writes the interim response and reports whether that succeeded.
+func (c *connection) writeInterim(writer *bufio.Writer) bool {
+	_ = c.conn.SetWriteDeadline(c.server.config.Clock.Now().Add(writeTimeout))
+	_, err := writer.WriteString(interimResponse)
+	if err == nil {
+		err = writer.Flush()
+	}
+	if err != nil {
+		c.disconnect()
+	}
+	return err == nil
+}
+
+// disconnect closes the connection after a failed write and cancels its requests.
+func (c *connection) disconnect() {
+	c.cancel()
+	_ = c.conn.Close()
+}
+
 // markAnswered counts a request as answered and reports whether its response is the last one of the connection.
 func (c *connection) markAnswered() bool {
 	c.mu.Lock()
--- a/httpserver/httpserver_test.go
+++ b/httpserver/httpserver_test.go
@@ -37,7 +37,9 @@
 	if config.Limits == nil {
 		config.Limits = func() Limits { return limits }
 	}
-	config.AllowConcurrent = func(r *http.Request) bool { return r.Method == http.MethodGet }
+	if config.AllowConcurrent == nil {
+		config.AllowConcurrent = func(r *http.Request) bool { return r.Method == http.MethodGet }
+	}
 	r := New(config)
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -222,6 +224,39 @@
 		is.New(t).NoErr(err)
 		requireResponse(t, reader, http.StatusOK, "/e ok")
 	})
+	t.Run("100-continue expected by a caller of HTTP/1.0", func(t *testing.T) {
+		_, reader := s.open(t, "POST /e HTTP/1.0\r\nHost: a.example\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\nok")
+		requireResponse(t, reader, http.StatusOK, "/e ok")
+	})
+}
+
+// Guards against an interim response before or inside the response to an earlier request.
+func TestInterimResponseInOrder(t *testing.T) {
+	const count = maxPending - 1
+	expecting := "PUT /p HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\nok"
+	large := strings.Repeat("x", 64*writeBufferBytes)
+	release := make(chan struct{})
+	config := Config{AllowConcurrent: func(*http.Request) bool { return true }}
+	s := newConfiguredServer(t, config, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			echo(w, r)
+			return
+		}
+		<-release
+		_, _ = io.WriteString(w, large)
+	}, Limits{})
+	conn, reader := s.open(t, strings.Repeat(get("/g")+expecting, count/2))
+	is := is.New(t)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond)))
+	_, err := reader.Peek(1)
+	is.True(isTimeout(err)) // nothing arrives before the response to the first request
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(testTimeout)))
+	close(release)
+	for range count / 2 {
+		requireResponse(t, reader, http.StatusOK, large)
+		requireResponse(t, reader, http.StatusContinue, "")
+		requireResponse(t, reader, http.StatusOK, "/p ok")
+	}
 }
 
 // Guards against callers that send without end: each part of a request is bounded in bytes, and no body is read for
