Read configurations as far as possible, and know teams by their credentials

Callers of a deployment whose configuration holds a word that this version doesn't know were served nothing: one route of the kind "upload" refused the whole. On demands/ all requests failed. Where teams had credentials, those went to the upstreams, which ran requests that no team had sent, or in regions in which the team's may not run.

The adapter now decodes each resource and field by itself. A route of an unknown kind is sent once, one without a readable service or regions keeps its prefix but runs nowhere, and each fault is in one warning and a metric. Refused as a whole are only configurations that are no JSON object, or lack a version or list of resources: what those say can't be told.

Other credentials get 401 before an upstream is chosen. A credential that is taken away is also noticed after a wait in the queue and before another attempt. Regions and priority of the team go into each choice.

--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/authenticator"
 	"github.com/eelgrassbeam/eelgrassbeam/bufferlimiter"
 	"github.com/eelgrassbeam/eelgrassbeam/forwarder"
 	"github.com/eelgrassbeam/eelgrassbeam/gossiper"
@@ -110,6 +111,8 @@
 	upstreams *upstream.Client
 	forwarder *forwarder.Forwarder
 
+	authenticator *authenticator.Authenticator
+
 	callerServer   *httpserver.Server
 	callerListener net.Listener
 	peerServer     *grpc.Server
@@ -134,6 +137,9 @@
 		return nil, oops.In("fronter").Wrap(err)
 	}
 	f.store = store
+	if f.authenticator, err = authenticator.New(); err != nil {
+		return nil, oops.In("fronter").Wrap(err)
+	}
 	f.buildView()
 	f.buildRequests()
 	f.registerState()
@@ -179,7 +185,7 @@
 		ResponseMargin: responseGrace,
 		Dialect: upstream.Dialect{
 			ExpectedID: platform.HeaderExpectInstance, NotRun: platform.HeaderNotExecuted, Load: platform.HeaderServerLoad,
-			Limit: platform.HeaderServerLimit, Leaving: platform.HeaderServerLeaving, AcceptUnframed: true,
+			Limit: platform.HeaderServerLimit, Leaving: platform.HeaderServerLeaving, Team: platform.HeaderTeam, AcceptUnframed: true,
 		},
 	})
 	s.forwarder = forwarder.New(forwarder.Config{
@@ -187,7 +193,8 @@
 		Budget:  retrylimiter.New(retrylimiter.Config{Registerer: s.registry, Burst: retryBurst}),
 		Buffers: bufferlimiter.New(bufferlimiter.Config{Bytes: bufferBytes(s.config.Settings), Registerer: s.registry}),
 		Metrics: forwarder.NewMetrics(s.registry), Entries: s.gossiper.LiveCount,
-		AffinityHeader: platform.HeaderAffinityKey, ResponseGrace: responseGrace,
+		AffinityHeader: platform.HeaderAffinityKey, CredentialHeader: platform.HeaderCredential, TeamHeader: platform.HeaderTeam,
+		ResponseGrace: responseGrace, Authenticator: s.authenticator,
 	})
 }
 
--- a/directserver/metrics.go
+++ b/directserver/metrics.go
@@ -16,6 +16,14 @@
 		}
 		return 0
 	}))
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "eelgrassbeam_configuration_faults", Help: "Parts of the configuration in force that can't be used as they are.",
+	}, func() float64 {
+		if routing := s.viewer.View().Routing; routing != nil {
+			return float64(len(routing.Faults))
+		}
+		return 0
+	}))
 	for _, kind := range picker.NoticeKinds {
 		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "eelgrassbeam_upstream_notices", Help: "Upstreams that say of themselves in responses that they have a limit, leave or want a pause.",
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/authenticator"
 	"github.com/eelgrassbeam/eelgrassbeam/bufferlimiter"
 	"github.com/eelgrassbeam/eelgrassbeam/matcher"
 	"github.com/eelgrassbeam/eelgrassbeam/picker"
@@ -77,6 +78,10 @@
 	ResponseGrace time.Duration
 	// AffinityHeader is the name of the request header that holds the affinity key.
 	AffinityHeader string
+	// Authenticator finds the team of a credential. CredentialHeader is the name of the request header that holds it, and
+	// TeamHeader that of the header with the team's ID, which only this entry sets while there are teams.
+	Authenticator                *authenticator.Authenticator
+	CredentialHeader, TeamHeader string
 }
 
 // Forwarder is an http.Handler that forwards callers' requests to upstreams.
@@ -102,13 +107,17 @@
 
 // call is a request in progress with its route and attempts.
 type call struct {
-	request   eelgrassbeam.Request
-	route     *eelgrassbeam.PathRoute
-	key       string
-	startedAt time.Time
-	deadline  time.Time
-	routing   *eelgrassbeam.Routing
-	tried     []eelgrassbeam.UpstreamID
+	request eelgrassbeam.Request
+	route   *eelgrassbeam.PathRoute
+	// team is the team that has sent the request, nil for none.
+	team *eelgrassbeam.Team
+	// callerHeader is the header as the caller sent it, with the credential.
+	callerHeader http.Header
+	key          string
+	startedAt    time.Time
+	deadline     time.Time
+	routing      *eelgrassbeam.Routing
+	tried        []eelgrassbeam.UpstreamID
 	// sent counts the upstreams that received the request.
 	sent     int
 	waited   time.Duration
@@ -117,6 +126,9 @@
 	releases []func()
 }
 
+// priority returns the priority of the call, which has a route.
+func (c *call) priority() int { return c.team.PriorityOn(c.route) }
+
 // release returns the buffer space of the call.
 func (c *call) release() {
 	for _, release := range c.releases {
@@ -148,13 +160,17 @@
 // ReserveBody reserves buffer space for a part of the request's body, in bytes.
 func (f *Forwarder) ReserveBody(r *http.Request, bytes int64) (release func(), err error) {
 	route, _, _ := f.route(r)
-	return f.config.Buffers.ReserveRequest(bytes, route != nil && isUrgent(route))
+	if route == nil {
+		return f.config.Buffers.ReserveRequest(bytes, false)
+	}
+	team, _ := f.authenticate(r.Header, route) // a request without a team is rejected once it is read
+	return f.config.Buffers.ReserveRequest(bytes, team.PriorityOn(route) == 0)
 }
 
 // reserveResponse reserves buffer space for the first part of the response. A request without space is rejected before
 // it is sent to an upstream.
 func (f *Forwarder) reserveResponse(c *call) *outcome {
-	release, err := f.config.Buffers.ReserveRequest(bufferlimiter.ResponseReserve, isUrgent(c.route))
+	release, err := f.config.Buffers.ReserveRequest(bufferlimiter.ResponseReserve, c.priority() == 0)
 	if err != nil {
 		rejection := f.reject(c, eelgrassbeam.ReasonNoBuffer, http.StatusServiceUnavailable)
 		rejection.retryAfter = noBufferRetryAfter
@@ -164,9 +180,6 @@
 	return nil
 }
 
-// isUrgent reports whether the route is of the most urgent rank.
-func isUrgent(route *eelgrassbeam.PathRoute) bool { return route.Priority == 0 }
-
 // forward sends the request to one upstream after another until one has answered it or no further attempt is allowed.
 func (f *Forwarder) forward(ctx context.Context, c *call) outcome {
 	f.config.Budget.RecordFirstAttempt(c.request.Service, retryShare)
@@ -175,6 +188,12 @@
 		if attempt > 0 && !f.mayRetry(c, last) {
 			return last
 		}
+		if rejection := f.checkTeam(c); rejection != nil {
+			if attempt > 0 && last.reply.Outcome != eelgrassbeam.OutcomeNotRun {
+				return last
+			}
+			return *rejection
+		}
 		slot, err := f.config.Picker.Acquire(ctx, f.job(c))
 		if err != nil {
 			if attempt > 0 {
@@ -183,6 +202,10 @@
 			return f.acquireErrorOutcome(c, err)
 		}
 		c.lastSlot, c.waited = slot, c.waited+slot.Waited
+		if rejection := f.checkTeam(c); slot.Waited > 0 && rejection != nil {
+			slot.Release(picker.ResultAbandoned, eelgrassbeam.SiteLoad{})
+			return *rejection
+		}
 		last = f.attempt(ctx, c, slot)
 		if !last.isRetryable(c.request.Idempotent || f.retriesNonIdempotent) || ctx.Err() != nil {
 			return last
@@ -194,7 +217,7 @@
 
 func (f *Forwarder) job(c *call) picker.Job {
 	return picker.Job{
-		Request: c.request.ID, Route: c.route, Service: c.request.Service, Key: c.key,
+		Request: c.request.ID, Route: c.route, Service: c.request.Service, Team: c.team, Key: c.key,
 		StartBy: f.startBy(c), Tried: c.tried,
 	}
 }
@@ -292,18 +315,28 @@
 // route returns the request's route, nil if none matches, and the matcher and routing of the current view, nil if
 // that is not ready.
 func (f *Forwarder) route(r *http.Request) (*eelgrassbeam.PathRoute, *matcher.Matcher, *eelgrassbeam.Routing) {
+	routeMatcher, routing := f.current()
+	if routing == nil {
+		return nil, nil, nil
+	}
+	route, _ := routeMatcher.Route(hostWithoutPort(r), eelgrassbeam.TargetPath(eelgrassbeam.OriginTarget(r)))
+	return route, routeMatcher, routing
+}
+
+// current returns the routing of the current view with its matcher, nil if the view is not ready. The teams of the routing
+// are in force when it returns.
+func (f *Forwarder) current() (*matcher.Matcher, *eelgrassbeam.Routing) {
 	view := f.config.Views.View()
 	if !view.IsReady() {
-		return nil, nil, nil
+		return nil, nil
 	}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.routing != view.Routing {
 		f.routing, f.matcher = view.Routing, matcher.New(view.Routing)
+		f.config.Authenticator.Update(view.Routing.Teams)
 	}
-	routeMatcher, routing := f.matcher, f.routing
-	f.mu.Unlock()
-	route, _ := routeMatcher.Route(hostWithoutPort(r), eelgrassbeam.TargetPath(eelgrassbeam.OriginTarget(r)))
-	return route, routeMatcher, routing
+	return f.matcher, f.routing
 }
 
 func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -37,7 +37,7 @@
 func (m *Metrics) observe(c *call, o outcome, status int, took time.Duration) {
 	priority := "none"
 	if c.route != nil {
-		priority = strconv.Itoa(c.route.Priority)
+		priority = strconv.Itoa(c.priority())
 	}
 	service, replyOutcome := string(c.request.Service), o.reply.Outcome
 	m.requests.WithLabelValues(service, priority, string(replyOutcome), string(o.reply.Reason), strconv.Itoa(status)).Inc()
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -133,6 +133,9 @@
 	if c.route != nil {
 		fields["route"], fields["configuration_version"] = c.route.Name, c.routing.Version
 	}
+	if c.team != nil {
+		fields["team"], fields["priority"] = c.team.ID, c.priority()
+	}
 	if o.reply.Reason == eelgrassbeam.ReasonNoRoute {
 		fields["host"], fields["path"] = r.Host, r.URL.Path[:min(len(r.URL.Path), maxLoggedPath)]
 		fields["configuration_version"], fields["routes"] = c.routing.Version, len(c.routing.Routes)
--- a/forwarder/read.go
+++ b/forwarder/read.go
@@ -46,6 +46,12 @@
 		return c, f.reject(c, eelgrassbeam.ReasonBadRequest, http.StatusBadRequest)
 	}
 	c.route = route
+	if rejection := f.identify(c, r); rejection != nil {
+		return c, rejection
+	}
+	if len(route.Shares) == 0 {
+		return c, f.reject(c, eelgrassbeam.ReasonNoCapacity, http.StatusServiceUnavailable)
+	}
 	c.key = r.Header.Get(f.config.AffinityHeader)
 	c.request.Service, c.request.Idempotent = routeMatcher.Service(route), route.Idempotent
 	c.deadline = c.startedAt.Add(timeLeft(r, route))
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -37,6 +37,8 @@
 	Request eelgrassbeam.RequestID
 	Route   *eelgrassbeam.PathRoute
 	Service eelgrassbeam.ServiceName
+	// Team is the team that has sent the request, nil for none.
+	Team *eelgrassbeam.Team
 	// Key is the affinity key of the request; empty for none.
 	Key string
 	// StartBy is the latest time at which the request may be sent to an upstream.
@@ -45,6 +47,15 @@
 	Tried []eelgrassbeam.UpstreamID
 }
 
+// priority returns the priority of the request, 0 being the most urgent.
+func (j Job) priority() int { return j.Team.PriorityOn(j.Route) }
+
+// allows reports whether an upstream of the region may run the request: where route and team are both bound to regions, both
+// have to allow it.
+func (j Job) allows(region eelgrassbeam.RegionID) bool {
+	return j.Route.Allows(region) && j.Team.Allows(region)
+}
+
 // Picker selects upstreams and queues requests. It is safe for concurrent use; mu guards all of its state.
 type Picker struct {
 	config Config
@@ -70,6 +81,8 @@
 	waiting    []*waiter
 	// serviceTime is the mean service time over all upstreams of the service.
 	serviceTime time.Duration
+	// mostUrgent is the most urgent priority of requests to the service.
+	mostUrgent int
 	// completions counts recent responses, from which the drain rate of the queue is estimated.
 	completions rate
 }
@@ -230,7 +243,7 @@
 
 func (p *Picker) selection(job Job, now time.Time) selection {
 	sel := selection{job: job, now: now, serviceTime: float64(max(p.serviceTimes[job.Route.Name], minServiceTime)), allowance: queueAllowance, object: objectHash(job)}
-	if p.hasMoreUrgentRoute(job) {
+	if p.service(job.Service).mostUrgent < job.priority() {
 		sel.allowance = lowPriorityQueueAllowance
 	}
 	return sel
@@ -259,7 +272,7 @@
 // isUsable reports whether the upstream may be selected for the job, now or after the pause that it asked for.
 func (p *Picker) isUsable(u *state, job Job, now time.Time) bool {
 	return !u.isLeaving() && !u.isEjected(now) && !u.isEvacuated &&
-		job.Route.Allows(u.upstream.Region) && !slices.Contains(job.Tried, u.upstream.ID) &&
+		job.allows(u.upstream.Region) && !slices.Contains(job.Tried, u.upstream.ID) &&
 		p.mayUse(u, now)
 }
 
@@ -289,19 +302,6 @@
 	c.cost = serviceTime*(1+float64(min(c.position, preferredCount))*positionPenalty) + queue + c.load/slots*serviceTime*loadWeight + float64(u.networkCost)
 }
 
-// hasMoreUrgentRoute reports whether the service has a route of higher priority than the job's.
-func (p *Picker) hasMoreUrgentRoute(job Job) bool {
-	for i := range p.view.Routing.Routes {
-		route := &p.view.Routing.Routes[i]
-		for _, share := range route.Shares {
-			if share.Service == job.Service && route.Priority < job.Route.Priority {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // networkCostTo returns the cost of the network path to the upstream, as time.
 func (p *Picker) networkCostTo(upstream eelgrassbeam.Upstream) time.Duration {
 	switch {
@@ -352,8 +352,8 @@
 
 func (s *service) enqueue(w *waiter) {
 	at, _ := slices.BinarySearchFunc(s.waiting, w, func(a, b *waiter) int {
-		if a.job.Route.Priority != b.job.Route.Priority {
-			return cmp.Compare(a.job.Route.Priority, b.job.Route.Priority)
+		if a.job.priority() != b.job.priority() {
+			return cmp.Compare(a.job.priority(), b.job.priority())
 		}
 		return -1 // after all others of the same priority
 	})
@@ -373,6 +373,9 @@
 	if view == p.view {
 		return
 	}
+	if view.Routing != nil && (p.view == nil || view.Routing != p.view.Routing) {
+		p.updatePriorities(view.Routing)
+	}
 	p.view, p.viewSince = view, p.config.Clock.Now()
 	states := make(map[eelgrassbeam.UpstreamID]*state, len(view.Upstreams))
 	for _, s := range p.services {
--- a/picker/wait.go
+++ b/picker/wait.go
@@ -17,7 +17,7 @@
 func (p *Picker) estimatedWait(s *service, job Job) time.Duration {
 	ahead := 0
 	for _, w := range s.waiting {
-		if w.job.Route.Priority <= job.Route.Priority {
+		if w.job.priority() <= job.priority() {
 			ahead++
 		}
 	}
--- a/request.go
+++ b/request.go
@@ -131,6 +131,12 @@
 	ReasonInProgress      Reason = "in_progress"
 	ReasonRetryBudget     Reason = "retry_budget"
 	ReasonNoBuffer        Reason = "no_buffer"
+	// ReasonCredentialMissing, ReasonCredentialInvalid and ReasonCredentialUnknown mean that no team has sent the request.
+	ReasonCredentialMissing Reason = "credential_missing"
+	ReasonCredentialInvalid Reason = "credential_invalid"
+	ReasonCredentialUnknown Reason = "credential_unknown"
+	// ReasonQuota means that the request is beyond the quota of its team.
+	ReasonQuota Reason = "quota"
 )
 
 // Reply is the result of a request at a receiver.
--- a/routing.go
+++ b/routing.go
@@ -30,6 +30,8 @@
 	Sticky bool
 	// Regions are the regions that may serve the requests; empty for all.
 	Regions []RegionID
+	// IsPublic reports whether requests need no credential of a team.
+	IsPublic bool
 }
 
 // Allows reports whether the region may serve the route's requests.
@@ -68,6 +70,33 @@
 	Routes   []PathRoute
 	Services map[ServiceName]ServiceSettings
 	Limits   CallerLimits
+	// Teams are the teams of callers. If there are none, no request needs a credential.
+	Teams []Team
+	// Faults are the parts of the stored form that can't be used as they are. The rest is in force.
+	Faults []RoutingFault
+}
+
+// RoutingFault is a part of a configuration that can't be used as it is.
+type RoutingFault struct {
+	// Resource is the kind of resource, Name its name; both may be empty.
+	Resource string `json:"resource,omitempty"`
+	Name     string `json:"name,omitempty"`
+	// Field is the field at fault; empty if it is the resource as a whole.
+	Field string `json:"field,omitempty"`
+	// Problem says what is wrong and what applies instead.
+	Problem string `json:"problem"`
+}
+
+// String returns the fault in one line.
+func (f RoutingFault) String() string {
+	place := f.Resource
+	if f.Name != "" {
+		place += " " + f.Name
+	}
+	if f.Field != "" {
+		place += ", " + f.Field
+	}
+	return place + ": " + f.Problem
 }
 
 // View is an immutable snapshot of this system's data on the platform, with the store revision of each part.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -61,6 +61,8 @@
 	Limit string
 	// Leaving names the response header that is "1" in responses of an upstream that is leaving.
 	Leaving string
+	// Team names the request header with the ID of the request's team.
+	Team string
 	// AcceptUnframed accepts responses without a length, whose end is the close of the connection.
 	AcceptUnframed bool
 }
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -190,6 +190,19 @@
 	})
 }
 
+// Guards against a caller that has the team's header removed as one of its connection.
+func TestTeamHeader(t *testing.T) {
+	is := is.New(t)
+	target, _ := serve(t, func(_ http.ResponseWriter, r *http.Request) { is.Equal(r.Header.Values("X-Team"), []string{"a"}) })
+	client := newClient(t)
+	client.config.Dialect.Team = "X-Team"
+	request := newPost("r1", "")
+	request.Team, request.Header = "a", http.Header{"Connection": {"X-Team"}, "X-Team": {"b"}}
+	reply, err := client.Exchange(testContext(t), target, request, testLimits)
+	is.NoErr(err)
+	is.Equal(reply.Status, http.StatusOK)
+}
+
 // Guards against requests that are run with another path than the caller's.
 func TestTargetIsUnchanged(t *testing.T) {
 	for _, sent := range []string{
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -74,6 +74,9 @@
 	if request.IdempotencyKey != "" {
 		header.Set(HeaderIdempotencyKey, string(request.IdempotencyKey))
 	}
+	if name := c.config.Dialect.Team; name != "" && request.Team != "" {
+		header.Set(name, string(request.Team))
+	}
 	if name := c.config.Dialect.ExpectedID; name != "" {
 		header.Set(name, string(target.ID))
 	}
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -21,6 +21,8 @@
 	outageThreshold = time.Second
 	// sweepInterval is the time between checks for upstreams whose retention has ended.
 	sweepInterval = 100 * time.Millisecond
+	// maxLoggedFaults bounds the faults of a configuration that are logged.
+	maxLoggedFaults = 10
 	// maxTombstones bounds the tombstones kept. A fleet replaces fewer upstreams than this in the time that a peer can
 	// lag behind.
 	maxTombstones = 20000
@@ -191,6 +193,21 @@
 		"event": "configuration_in_force", "version": routing.Version, "revision": revision, "source": source,
 		"routes": len(routing.Routes), "bytes": len(value), "took_ms": v.config.Clock.Now().Sub(received).Milliseconds(),
 	}).Info("")
+	v.logFaults(routing)
+}
+
+// logFaults logs in one line what of the configuration can't be used.
+func (v *Viewer) logFaults(routing *eelgrassbeam.Routing) {
+	if len(routing.Faults) == 0 {
+		return
+	}
+	first := make([]string, min(len(routing.Faults), maxLoggedFaults))
+	for i := range first {
+		first[i] = routing.Faults[i].String()
+	}
+	v.config.Log.WithFields(logrus.Fields{
+		"event": "configuration_faults", "version": routing.Version, "faults": len(routing.Faults), "first": first,
+	}).Warn("")
 }
 
 func (v *Viewer) sweep() {
