Keep teams' requests to all entries within their quotas

quotalimiter decides at each entry at once and reports afterwards to one entry, the keeper, which limits the teams beyond their quota in proportion to each entry's demand.

--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -24,6 +24,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 	"github.com/eelgrassbeam/eelgrassbeam/picker"
 	"github.com/eelgrassbeam/eelgrassbeam/platform"
+	"github.com/eelgrassbeam/eelgrassbeam/quotalimiter"
 	"github.com/eelgrassbeam/eelgrassbeam/retrylimiter"
 	"github.com/eelgrassbeam/eelgrassbeam/upstream"
 	"github.com/eelgrassbeam/eelgrassbeam/viewer"
@@ -112,6 +113,7 @@
 	forwarder *forwarder.Forwarder
 
 	authenticator *authenticator.Authenticator
+	quotas        *quotalimiter.QuotaLimiter
 
 	callerServer   *httpserver.Server
 	callerListener net.Listener
@@ -188,13 +190,18 @@
 			Limit: platform.HeaderServerLimit, Leaving: platform.HeaderServerLeaving, Team: platform.HeaderTeam, AcceptUnframed: true,
 		},
 	})
+	s.quotas = quotalimiter.New(quotalimiter.Config{
+		Self: s.self, Clock: s.config.Clock, Log: s.log, Entries: s.liveEntries, Teams: s.teams,
+		Overage: s.config.Settings.QuotaOverage, Slack: s.config.Settings.QuotaSlack,
+		Reporter: quotalimiter.NewPeerReporter(s.pool), Registerer: s.registry,
+	})
 	s.forwarder = forwarder.New(forwarder.Config{
 		Self: s.self, Clock: s.config.Clock, Log: s.log, Views: s.viewer, Picker: s.picker, Exchanger: s.upstreams,
 		Budget:  retrylimiter.New(retrylimiter.Config{Registerer: s.registry, Burst: retryBurst}),
 		Buffers: bufferlimiter.New(bufferlimiter.Config{Bytes: bufferBytes(s.config.Settings), Registerer: s.registry}),
 		Metrics: forwarder.NewMetrics(s.registry), Entries: s.gossiper.LiveCount,
 		AffinityHeader: platform.HeaderAffinityKey, CredentialHeader: platform.HeaderCredential, TeamHeader: platform.HeaderTeam,
-		ResponseGrace: responseGrace, Authenticator: s.authenticator,
+		ResponseGrace: responseGrace, Authenticator: s.authenticator, Quotas: s.quotas,
 	})
 }
 
@@ -206,6 +213,7 @@
 	s.peerServer = peer.NewServer(peer.ServerConfig{MaxMessageBytes: maxPeerMessageBytes})
 	peer.RegisterPing(s.peerServer)
 	s.gossiper.Register(s.peerServer)
+	quotalimiter.Register(s.peerServer, s.quotas)
 	ttl := min(lookupTTL, s.config.Settings.LookupTTL)
 	s.httpServers = []*http.Server{
 		{Addr: s.config.Settings.ReadyAddress.String(), Handler: platform.NewReadinessHandler(s.isReady), ReadHeaderTimeout: defaultHeaderTimeout},
@@ -238,6 +246,26 @@
 	return limits
 }
 
+// teams returns the teams of the configuration in force.
+func (s *Server) teams() []eelgrassbeam.Team {
+	routing := s.viewer.View().Routing
+	if routing == nil {
+		return nil
+	}
+	return routing.Teams
+}
+
+// liveEntries returns the live entries that aren't leaving.
+func (s *Server) liveEntries() []eelgrassbeam.Entry {
+	var entries []eelgrassbeam.Entry
+	for _, m := range s.gossiper.Members() {
+		if m.Entry.State == eelgrassbeam.InstanceLive {
+			entries = append(entries, m.Entry)
+		}
+	}
+	return entries
+}
+
 // bufferBytes returns the budget for buffered bodies.
 func bufferBytes(settings platform.Settings) int64 {
 	memory := settings.MemoryBytes
--- a/directserver/run.go
+++ b/directserver/run.go
@@ -31,7 +31,7 @@
 	serveCtx := ctx // unlike the group's context, it is not cancelled as soon as a component fails
 	s.callerListener = callerListener
 	group, ctx := errgroup.WithContext(ctx)
-	for _, runner := range []eelgrassbeam.Runner{s.config.LogWriter, s.viewer, s.watcher, s.pool, s.gossiper, s.picker, s.upstreams} {
+	for _, runner := range []eelgrassbeam.Runner{s.config.LogWriter, s.viewer, s.watcher, s.pool, s.gossiper, s.picker, s.upstreams, s.quotas} {
 		group.Go(func() error { return runner.Run(ctx) })
 	}
 	group.Go(func() error { return s.propagateChanges(ctx) })
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -60,6 +60,11 @@
 	MaxResponseBytes() int64
 }
 
+// QuotaLimiter decides whether a team's request is within its quota, and if not, when the next one may be.
+type QuotaLimiter interface {
+	Admit(team *eelgrassbeam.Team) (isAdmitted bool, retryAfter time.Duration)
+}
+
 // Config configures a Forwarder.
 type Config struct {
 	Self      eelgrassbeam.Entry
@@ -80,7 +85,9 @@
 	AffinityHeader string
 	// Authenticator finds the team of a credential. CredentialHeader is the name of the request header that holds it, and
 	// TeamHeader that of the header with the team's ID, which only this entry sets while there are teams.
-	Authenticator                *authenticator.Authenticator
+	Authenticator *authenticator.Authenticator
+	// Quotas decides on the requests of teams with a quota.
+	Quotas                       QuotaLimiter
 	CredentialHeader, TeamHeader string
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -63,6 +63,14 @@
 
 func (b fixedBudget) AllowRetry(eelgrassbeam.ServiceName, float64) bool { return b.allowed }
 
+// fixedQuota rejects all requests of the teams that it holds.
+type fixedQuota map[eelgrassbeam.TeamID]time.Duration
+
+func (q fixedQuota) Admit(team *eelgrassbeam.Team) (bool, time.Duration) {
+	after, isExceeded := q[team.ID]
+	return !isExceeded, after
+}
+
 type fixedView struct{ view *eelgrassbeam.View }
 
 func (f fixedView) View() *eelgrassbeam.View { return f.view }
@@ -98,7 +106,7 @@
 	return New(Config{
 		Clock: clock, Log: log, Views: views, Exchanger: s, Budget: fixedBudget{hasBudget}, Metrics: NewMetrics(prometheus.NewRegistry()),
 		Entries: func() int { return 1 }, AffinityHeader: "X-Key",
-		Authenticator: teams, CredentialHeader: "X-Credential", TeamHeader: "X-Team",
+		Quotas: fixedQuota{}, Authenticator: teams, CredentialHeader: "X-Credential", TeamHeader: "X-Team",
 		Buffers: bufferlimiter.New(bufferlimiter.Config{Bytes: testBufferBytes, Registerer: prometheus.NewRegistry()}),
 		Picker:  picker.New(picker.Config{Clock: clock, Log: log, Views: views, Entries: func() []eelgrassbeam.EntryID { return []eelgrassbeam.EntryID{""} }}),
 	})
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -113,7 +113,7 @@
 	if c.request.ID != "" {
 		header.Set(upstream.HeaderRequestID, string(c.request.ID))
 	}
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		retryAfter := o.retryAfter
 		if retryAfter == 0 && c.route != nil {
 			retryAfter = f.config.Picker.RetryAfter(f.job(c))
--- a/forwarder/read.go
+++ b/forwarder/read.go
@@ -57,6 +57,9 @@
 	c.deadline = c.startedAt.Add(timeLeft(r, route))
 	body, rejection := f.readBody(w, r, c)
 	c.request.Body = body
+	if rejection == nil {
+		rejection = f.checkQuota(c)
+	}
 	return c, rejection
 }
 
--- a/forwarder/team.go
+++ b/forwarder/team.go
@@ -60,6 +60,20 @@
 	return nil
 }
 
+// checkQuota returns a rejection for a request beyond the quota of its team.
+func (f *Forwarder) checkQuota(c *call) *outcome {
+	if c.team == nil {
+		return nil
+	}
+	isAdmitted, retryAfter := f.config.Quotas.Admit(c.team)
+	if isAdmitted {
+		return nil
+	}
+	rejection := f.reject(c, eelgrassbeam.ReasonQuota, http.StatusTooManyRequests)
+	rejection.retryAfter = retryAfter
+	return rejection
+}
+
 func credentialReason(err error) eelgrassbeam.Reason {
 	switch {
 	case errors.Is(err, authenticator.ErrMissing):
--- a/forwarder/team_test.go
+++ b/forwarder/team_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -129,6 +130,18 @@
 	is.Equal(s.targets, []eelgrassbeam.UpstreamID{"u1"})
 }
 
+func TestQuota(t *testing.T) {
+	s := &scriptedExchanger{steps: []step{answered}}
+	f, _ := newTeamForwarder(t, s)
+	f.config.Quotas = fixedQuota{"b": 1500 * time.Millisecond}
+	is := is.New(t)
+	response := sendWith(f, "/post/", http.Header{"X-Credential": {"kb"}})
+	is.Equal(response.Code, 429)
+	is.Equal(response.Header().Get("Retry-After"), "1.50")
+	is.Equal(len(s.requests), 0)
+	is.Equal(sendWith(f, "/post/", http.Header{"X-Credential": {"ka"}}).Code, 200)
+}
+
 func TestRouteWithoutService(t *testing.T) {
 	s := &scriptedExchanger{steps: []step{answered}}
 	f, views := newTeamForwarder(t, s)
