Test that statuses which are none don't reach callers

Operators of other systems saw an answer with status 000 passed on. This system doesn't do so: the client of upstreams accepts 200 to 599 only, and any other status is an unknown outcome, 502 at the caller. So nothing is mended.

--- /dev/null
+++ b/directserver/odd_status_test.go
@@ -0,0 +1,82 @@
+package directserver
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/eelgrassbeam/eelgrassbeam/platform"
+)
+
+// oddStatuses are status lines of upstreams in trouble whose status is no final one of HTTP.
+var oddStatuses = []string{
+	"000 OK", "001 OK", "020 OK", "099 OK", "+20 OK", "-20 OK", "20 OK", "2 OK", "2000 OK", "600 OK", "999 OK", "abc OK", "2OO OK",
+	"101 Switching Protocols", "100 Continue", "103 Early Hints", "",
+}
+
+// serveRaw answers each request with the status line and closes the connection.
+func serveRaw(t *testing.T, status string) netip.AddrPort {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go(func() error {
+				defer func() { _ = conn.Close() }()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return nil
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok", status, request.Header.Get("X-Request-Id"))
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		_ = group.Wait()
+	})
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// Guards against an answer with a status that is none, of an upstream in trouble, that reaches the caller as an answer. The
+// request may have run, so that the caller must not be told that it hasn't.
+func TestOddStatusesDoNotReachCallers(t *testing.T) {
+	s := newTestCluster(t, 0)
+	var resources []any
+	for i, status := range oddStatuses {
+		service := fmt.Sprintf("odd%d", i)
+		resources = append(resources, map[string]any{"resource_kind": "routes", "metadata": map[string]any{"name": service}, "spec": map[string]any{
+			"host": "a.example", "path_prefix": "/" + service + "/", "kind": "non_idempotent", "timeout": "5s", "service": service,
+		}})
+		s.put(t, platform.KindUpstreams, service, fmt.Sprintf(
+			`{"service":%q,"address":%q,"zone":"z1","slots":3,"state":"ready","cold_remaining":"0ms","sequence":1,"born":1}`, service, serveRaw(t, status)))
+	}
+	text, err := json.Marshal(map[string]any{"version": 1, "resources": resources})
+	is.New(t).NoErr(err)
+	s.put(t, platform.KindConfiguration, platform.MainConfiguration, string(text))
+	entry := s.start(t, "e1")
+	eventually(t, "readiness", func() bool { return entry.readyStatus(t) == http.StatusOK })
+	for i, status := range oddStatuses {
+		t.Run(fmt.Sprintf("%q", status), func(t *testing.T) {
+			is := is.New(t)
+			code, body := entry.post(t, fmt.Sprintf("/odd%d/x", i), fmt.Sprintf("r%d", i))
+			is.Equal(code, http.StatusBadGateway)
+			is.Equal(body, "upstream_failed\n")
+		})
+	}
+}
--- a/upstream/fault_test.go
+++ b/upstream/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -319,3 +320,38 @@
 		assertOutcome(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonUpstreamFailed)
 	})
 }
+
+// oddStatuses are no final statuses of HTTP.
+var oddStatuses = []string{"000", "099", "020", "+20", "-20", "600", "999", "2000", "20", "abc", "101"}
+
+func serveStatus(t *testing.T, status string) eelgrassbeam.Upstream {
+	t.Helper()
+	target, _ := serveRaw(t, func(conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\nX-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok", status, r.Header.Get(HeaderRequestID))
+		_ = conn.Close()
+	})
+	return target
+}
+
+// Guards both ways to run against an answer with a status that is none. The request may have run.
+func TestExchangeWithOddStatus(t *testing.T) {
+	for _, status := range oddStatuses {
+		t.Run(status, func(t *testing.T) {
+			reply, err := newClient(t).Exchange(testContext(t), serveStatus(t, status), newPost("r1", ""), testLimits)
+			is := is.New(t)
+			is.True(err != nil)
+			is.Equal(reply.Status, 0)
+			assertOutcome(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonUpstreamFailed)
+		})
+	}
+}
+
+// Guards against a probe that takes an answer with a status that is none for good health.
+func TestProbeWithOddStatus(t *testing.T) {
+	for _, status := range oddStatuses {
+		t.Run(status, func(t *testing.T) {
+			err := newClient(t).Probe(testContext(t), serveStatus(t, status), testLimits)
+			is.New(t).True(errors.Is(err, ErrUnhealthy))
+		})
+	}
+}
