Keep connections open until callers have their responses

Callers on slow links lost answers by a reset after a stop: an entry closed a connection 500 ms after it had handed the last response to the kernel, which still held hundreds of kilobytes, and the caller's next request was answered with a reset. The same happened at the end of an idle connection whose last response was still on its way.

The end of a connection now waits, after a half-close and reading on, until the other host has acknowledged everything, 20 s at most; a stop bounds it by grace as before. Where the kernel doesn't tell, nothing changes.

--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -90,6 +90,7 @@
 	close(c.pending)
 	_ = handlers.Wait()
 	_ = writer.Wait()
+	c.linger()
 }
 
 // read reads requests and starts their handlers until the caller disconnects or the last request is read.
--- a/httpserver/httpserver_test.go
+++ b/httpserver/httpserver_test.go
@@ -400,6 +400,36 @@
 	})
 }
 
+// Guards against responses that a caller on a slow link loses by a reset, because the connection is closed while the kernel
+// still sends them and the caller's next request arrives.
+func TestShutdownDeliversToSlowCaller(t *testing.T) {
+	is := is.New(t)
+	large := strings.Repeat("x", 256<<10)
+	s := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) }, Limits{})
+	conn, _ := s.open(t, "")
+	is.NoErr(conn.(*net.TCPConn).SetReadBuffer(16 << 10))
+	_, err := io.WriteString(conn, strings.Repeat(get("/1"), 4))
+	is.NoErr(err)
+	reader := bufio.NewReader(slowReader{conn})
+	requireResponse(t, reader, http.StatusOK, large)
+	var group errgroup.Group
+	group.Go(func() error { return s.server.Shutdown(t.Context()) })
+	for range 3 {
+		_, _ = io.WriteString(conn, get("/2")) // crosses the end of the connection
+		requireResponse(t, reader, http.StatusOK, large)
+	}
+	_ = conn.Close()
+	is.NoErr(group.Wait())
+}
+
+// slowReader reads some 1.6 MB a second.
+type slowReader struct{ io.Reader }
+
+func (r slowReader) Read(p []byte) (int, error) {
+	<-time.After(5 * time.Millisecond)
+	return r.Reader.Read(p[:min(len(p), 8<<10)])
+}
+
 func TestIdleTimeout(t *testing.T) {
 	s := newTestServer(t, echo, Limits{IdleTimeout: 50 * time.Millisecond})
 	_, reader := s.open(t, get("/1"))
