Check a configuration of the platform before it is sent

`eelgrassbeam check FILE` names what entries can't use, routes that never match, limits that contradict each other, credentials of two teams, and what differs from another file or from the store's. It can't compare quotas with what upstreams bear, which the configuration doesn't tell.

--- a/cmd/eelgrassbeam/command.go
+++ b/cmd/eelgrassbeam/command.go
@@ -31,7 +31,7 @@
 		configGet, configSet, configApply, configDiff,
 		exceptionAdd, exceptionList, exceptionRemove,
 		drain, undrain,
-		status, lookup, decisions, explain,
+		status, lookup, decisions, explain, checkConfiguration,
 		showVersion,
 	}
 }
--- a/cmd/eelgrassbeam/options.go
+++ b/cmd/eelgrassbeam/options.go
@@ -41,6 +41,9 @@
 	kind            string
 	request         string
 	limit           int
+	against         string
+	storeURL        string
+	regions         string
 }
 
 // registerGlobal registers the flags that all commands share.
@@ -94,6 +97,15 @@
 	"limit": func(o *options, f *flag.FlagSet, name string) {
 		f.IntVar(&o.limit, name, defaultLimit, "most decisions to show")
 	},
+	"against": func(o *options, f *flag.FlagSet, name string) {
+		f.StringVar(&o.against, name, "", "file of the configuration to compare with, or in-force for the one in the platform's store")
+	},
+	"store-url": func(o *options, f *flag.FlagSet, name string) {
+		f.StringVar(&o.storeURL, name, "", "address of the platform's store, such as http://192.0.2.1:8142")
+	},
+	"regions": func(o *options, f *flag.FlagSet, name string) {
+		f.StringVar(&o.regions, name, "", "regions that exist, separated by commas; without them regions aren't checked")
+	},
 }
 
 // validate rejects values of global flags that no command accepts.
