Choose upstreams by the pace they report and by usual loads

Servers were overrun in turns while others idled: a report of load aged to none within a second, so that an upstream which an entry hadn't heard of seemed idle to all entries at once; and the fourth figure of a report, how long work takes on the upstream's machine, was ignored.

For services whose upstreams report a pace, the pace multiplies the expected service time, and an ageing report turns into the service's mean load, in the cost of the choice only. Other services are chosen as before.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -81,6 +81,10 @@
 	waiting    []*waiter
 	// serviceTime is the mean service time over all upstreams of the service.
 	serviceTime time.Duration
+	// sharesMachines reports whether an upstream has reported the pace of work on its machine. othersPerSlot is the mean load
+	// of other entries' requests, as reports show it.
+	sharesMachines bool
+	othersPerSlot  float64
 	// mostUrgent is the most urgent priority of requests to the service.
 	mostUrgent int
 	// completions counts recent responses, from which the drain rate of the queue is estimated.
@@ -291,15 +295,19 @@
 	}
 	share, isRationed := p.ration(u, sel.now)
 	c.hasCapacity = c.load+1 <= limit && (!isRationed || u.refill(sel.now, share.perSecond) >= 1)
-	serviceTime := sel.serviceTime * u.slowness(s)
+	serviceTime := sel.serviceTime * u.slowness(s) * u.paceAt(sel.now)
 	if !isCached && sel.job.Route.Sticky {
 		serviceTime *= cacheMissFactor
 	}
 	if isCold {
 		serviceTime *= coldFactor
 	}
-	queue := max(0, c.load+1-slots) / slots * serviceTime
-	c.cost = serviceTime*(1+float64(min(c.position, preferredCount))*positionPenalty) + queue + c.load/slots*serviceTime*loadWeight + float64(u.networkCost)
+	load := c.load
+	if s.sharesMachines {
+		load = float64(u.inFlight) + s.expectedOthers(u, sel.now)
+	}
+	queue := max(0, load+1-slots) / slots * serviceTime
+	c.cost = serviceTime*(1+float64(min(c.position, preferredCount))*positionPenalty) + queue + load/slots*serviceTime*loadWeight + float64(u.networkCost)
 }
 
 // networkCostTo returns the cost of the network path to the upstream, as time.
--- a/picker/simulation_test.go
+++ b/picker/simulation_test.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	now       time.Time
 	events    eventHeap
 	pickers   []*Picker
+	ids       []eelgrassbeam.UpstreamID
 	upstreams map[eelgrassbeam.UpstreamID]*simulatedUpstream
 	view      *eelgrassbeam.View
 	waiting   []*simulatedRequest
@@ -30,6 +32,17 @@
 	// informed holds the times of requests to each upstream from entries that had its limit from an earlier response for
 	// informedAfter.
 	informed map[eelgrassbeam.UpstreamID][]time.Time
+	// distance is the time that a message takes from one region to another, queueLimit the queue above which upstreams reject
+	// requests, zero for none, keeps the objects that an upstream has cached, zero for all, and tailShare the share of
+	// requests that take tailFactor times as long.
+	distance              time.Duration
+	queueLimit, keeps     int
+	tailShare, tailFactor float64
+	// rejectedArrivals counts the requests that upstreams rejected, busiest and mean the loads at samples.
+	rejectedArrivals int
+	busiest, mean    float64
+	// hidesPace leaves the pace out of reports.
+	hidesPace bool
 }
 
 // informedAfter is how long after a response that names a limit an entry has to keep it.
@@ -41,6 +54,11 @@
 	running int
 	queue   []*simulatedRequest
 	cached  map[string]bool
+	// recent are the cached objects, the most recently used last.
+	recent []string
+	// pace is reported unless it is zero.
+	pace   float64
+	region eelgrassbeam.RegionID
 	// limit is named in its responses unless it is zero.
 	limit float64
 	// named holds the times of the first responses with a limit by entry.
@@ -81,7 +99,8 @@
 	}}
 	for i := range upstreams {
 		id := eelgrassbeam.UpstreamID(fmt.Sprintf("u%02d", i))
-		s.upstreams[id] = &simulatedUpstream{slots: slots, cached: make(map[string]bool), named: make(map[int]time.Time)}
+		s.upstreams[id] = &simulatedUpstream{slots: slots, region: eelgrassbeam.RegionID(fmt.Sprintf("r%d", i%3)), cached: make(map[string]bool), named: make(map[int]time.Time)}
+		s.ids = append(s.ids, id)
 		s.arrivals[id] = make(map[int64]int)
 		view.Upstreams = append(view.Upstreams, eelgrassbeam.Upstream{
 			ID: id, Service: "s", Zone: eelgrassbeam.ZoneID(fmt.Sprintf("z%d", i%6)), Region: eelgrassbeam.RegionID(fmt.Sprintf("r%d", i%3)),
@@ -133,11 +152,16 @@
 }
 
 func (s *simulation) arrive(entry int, route *eelgrassbeam.PathRoute, key string) {
-	p := s.pickers[entry]
 	request := &simulatedRequest{entry: entry, arrivedAt: s.now, job: Job{
 		Request: eelgrassbeam.RequestID(fmt.Sprint(s.random.Uint64())), Route: route, Service: "s", Key: key,
 		StartBy: s.now.Add(route.TargetLatency / 2),
 	}}
+	s.seek(request)
+}
+
+// seek asks the entry's picker for a slot.
+func (s *simulation) seek(request *simulatedRequest) {
+	p := s.pickers[request.entry]
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.applyView()
@@ -191,8 +215,34 @@
 	if named, ok := u.named[request.entry]; ok && s.now.Sub(named) >= informedAfter {
 		s.informed[id] = append(s.informed[id], s.now)
 	}
-	u.queue = append(u.queue, request)
-	s.startQueued(u)
+	if wait := s.distanceTo(request, u); wait > 0 {
+		s.schedule(s.now.Add(wait), func() { s.receive(u, request) })
+		return
+	}
+	s.receive(u, request)
+}
+
+func (s *simulation) distanceTo(request *simulatedRequest, u *simulatedUpstream) time.Duration {
+	if s.pickers[request.entry].config.Self.Region == u.region {
+		return 0
+	}
+	return s.distance
+}
+
+// receive queues a request at its upstream, which rejects it if the queue is full.
+func (s *simulation) receive(u *simulatedUpstream, request *simulatedRequest) {
+	if s.queueLimit == 0 || len(u.queue) < s.queueLimit {
+		u.queue = append(u.queue, request)
+		s.startQueued(u)
+		return
+	}
+	s.rejectedArrivals++
+	report := eelgrassbeam.SiteLoad{InProgress: u.running, Waiting: len(u.queue), Slots: u.slots, Pace: s.reported(u)}
+	s.schedule(s.now.Add(s.distanceTo(request, u)), func() {
+		request.slot.Release(ResultShed, report)
+		request.job.Tried = append(request.job.Tried, request.slot.Upstream.ID)
+		s.seek(request)
+	})
 }
 
 func (s *simulation) startQueued(u *simulatedUpstream) {
@@ -205,14 +255,54 @@
 		if isCacheHit {
 			took = s.hitTime
 		}
-		u.cached[object] = true
+		s.keep(u, object)
+		if s.random.Float64() < s.tailShare {
+			took = time.Duration(float64(took) * s.tailFactor)
+		}
+		if u.pace > 0 {
+			took = time.Duration(float64(took) * u.pace)
+		}
 		s.schedule(s.now.Add(took), func() { s.complete(u, request, isCacheHit) })
 	}
 }
 
+// reported returns the pace in the upstream's reports, zero for none.
+func (s *simulation) reported(u *simulatedUpstream) float64 {
+	if s.hidesPace {
+		return 0
+	}
+	return u.pace
+}
+
+// keep caches the object, in place of the one not used for the longest time if the cache is full.
+func (s *simulation) keep(u *simulatedUpstream, object string) {
+	u.cached[object] = true
+	if s.keeps == 0 {
+		return
+	}
+	if i := slices.Index(u.recent, object); i >= 0 {
+		u.recent = slices.Delete(u.recent, i, i+1)
+	}
+	u.recent = append(u.recent, object)
+	if len(u.recent) > s.keeps {
+		delete(u.cached, u.recent[0])
+		u.recent = u.recent[1:]
+	}
+}
+
 func (s *simulation) complete(u *simulatedUpstream, request *simulatedRequest, isCacheHit bool) {
 	u.running--
 	s.startQueued(u)
+	report := eelgrassbeam.SiteLoad{InProgress: u.running, Waiting: len(u.queue), Slots: u.slots, Pace: s.reported(u)}
+	if wait := s.distanceTo(request, u); wait > 0 {
+		s.schedule(s.now.Add(wait), func() { s.answer(u, request, isCacheHit, report) })
+		return
+	}
+	s.answer(u, request, isCacheHit, report)
+}
+
+// answer hands the response to the entry.
+func (s *simulation) answer(u *simulatedUpstream, request *simulatedRequest, isCacheHit bool, report eelgrassbeam.SiteLoad) {
 	s.results = append(s.results, simulatedResult{
 		entry: request.entry, priority: request.job.Route.Priority, took: s.now.Sub(request.arrivedAt), isCacheHit: isCacheHit,
 	})
@@ -220,7 +310,7 @@
 		u.named[request.entry] = s.now
 	}
 	request.slot.Observe(&eelgrassbeam.Notice{Limit: u.limit})
-	request.slot.Release(ResultAnswered, eelgrassbeam.SiteLoad{InProgress: u.running, Waiting: len(u.queue), Slots: u.slots})
+	request.slot.Release(ResultAnswered, report)
 }
 
 // shareOf returns the share of results that match wanted among those that match among.
--- a/picker/slot.go
+++ b/picker/slot.go
@@ -123,7 +123,8 @@
 	u, took := s.state, now.Sub(s.acquiredAt)
 	if report.Slots > 0 {
 		u.otherInFlight = max(0, float64(report.InProgress+report.Waiting-u.inFlight))
-		u.reportedAt = now
+		u.reportedAt, u.pace = now, report.Pace
+		s.service.observeReport(u.otherInFlight/float64(report.Slots), report.Pace)
 	}
 	switch result {
 	case ResultAnswered:
--- a/picker/state.go
+++ b/picker/state.go
@@ -77,11 +77,13 @@
 	// otherInFlight is the number of other entries' requests at the upstream as of the latest report.
 	otherInFlight float64
 	reportedAt    time.Time
-	serviceTime   time.Duration // mean
-	failures      int
-	ejections     int
-	ejectedAt     time.Time
-	ejectedUntil  time.Time
+	// pace is how long work takes as a multiple of the usual time by the latest report; zero if not reported.
+	pace         float64
+	serviceTime  time.Duration // mean
+	failures     int
+	ejections    int
+	ejectedAt    time.Time
+	ejectedUntil time.Time
 	// localColdUntil is the end of the slow start that this entry applies after an ejection.
 	localColdUntil time.Time
 	// leavingSince is when a response first said that the upstream is leaving; zero if none has. It holds until the
--- a/request.go
+++ b/request.go
@@ -179,6 +179,9 @@
 	InProgress int `json:"in_progress"`
 	// Waiting is the number of queued requests.
 	Waiting int `json:"waiting"`
+	// Pace is how long work takes on the upstream's machine at present, as a multiple of the usual time; zero if not
+	// reported.
+	Pace float64 `json:"pace,omitempty"`
 	// RankWaiting is the number of queued requests of each rank, most urgent first.
 	RankWaiting [RankCount]int `json:"rank_waiting"`
 }
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -143,15 +143,10 @@
 
 // parseLoad returns the load in the response header, or the zero value if it is missing or invalid.
 func (c *Client) parseLoad(header http.Header) eelgrassbeam.SiteLoad {
-	var load eelgrassbeam.SiteLoad
-	text := header.Get(c.config.Dialect.Load)
-	if c.config.Dialect.Load == "" || text == "" {
-		return load
-	}
-	if n, err := fmt.Sscanf(text, "%d,%d,%d", &load.InProgress, &load.Waiting, &load.Slots); err != nil || n != 3 {
+	if c.config.Dialect.Load == "" {
 		return eelgrassbeam.SiteLoad{}
 	}
-	return load
+	return decodeLoad(header.Get(c.config.Dialect.Load))
 }
 
 func shedReply(response *http.Response, id eelgrassbeam.RequestID) eelgrassbeam.Reply {
