Ping a zone's watchers, so that a lost one is replaced in time

Callers were served by an old configuration for up to 3.0 s after its ack where both watchers of an entry's zone were lost with it: entries without watchers take over only when a heartbeat has been missing for 3 s, longer than config and drain allow.

A false suspicion costs some calls to the store.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -197,6 +197,8 @@
 	member    Member
 	lastHeard time.Time
 	failed    bool
+	// unansweredAt is when the member last left a ping unanswered; zero once it has answered another.
+	unansweredAt time.Time
 	// revisions are the last known revisions of the member's state.
 	revisions Revisions
 }
@@ -300,6 +302,7 @@
 	group.Go(func() error { return g.discover(ctx) })
 	group.Go(func() error { return g.push(ctx) })
 	group.Go(func() error { return g.catchUp(ctx) })
+	group.Go(func() error { return g.pingWatchers(ctx) })
 	group.Go(func() error {
 		for {
 			next := g.config.Clock.After(g.nextRoundDelay())
--- a/gossiper/pull_test.go
+++ b/gossiper/pull_test.go
@@ -84,6 +84,7 @@
 	})
 	server := peer.NewServer(peer.ServerConfig{})
 	e.Register(server)
+	peer.RegisterPing(server)
 	ctx, cancel := context.WithCancel(t.Context())
 	var group errgroup.Group
 	group.Go(func() error { return server.Serve(wrap(listener)) })
--- a/peer/ping.go
+++ b/peer/ping.go
@@ -51,6 +51,12 @@
 	}, struct{}{})
 }
 
+// SendPing returns an error if the entry at the other end of the connection doesn't answer a ping.
+func SendPing(ctx context.Context, conn grpc.ClientConnInterface) error {
+	_, err := Call[Ping](ctx, conn, pingService, pingMethod, &Ping{})
+	return err
+}
+
 // Run pings the connections that have calls in progress until the context ends. It closes connections whose
 // ping fails or times out, and those that have been idle for maxIdleIntervals.
 func (p *Pool) Run(ctx context.Context) error {
@@ -110,7 +116,7 @@
 	defer pooled.pinging.Store(false)
 	call, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	_, err := Call[Ping](call, pooled.conn, pingService, pingMethod, &Ping{})
+	err := SendPing(call, pooled.conn)
 	if err == nil || ctx.Err() != nil {
 		return
 	}
