admitter: keep the service's name apart from the policy that changes

A change of the policy wrote the service while a decision was being recorded: TestScenarios/platform_down showed the race in 1 of 5 runs beside load. TestPolicyChangesBesideDecisions shows it at once.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -32,7 +32,9 @@
 // Admitter queues the requests of one site and assigns them to free slots of its upstreams. It is safe for concurrent
 // use.
 type Admitter struct {
-	config   Config
+	config Config
+	// service is the name of the service, which changes of the policy keep.
+	service  eelgrassbeam.ServiceName
 	disabled disabledGuards
 
 	mu          sync.Mutex
@@ -65,7 +67,7 @@
 	if config.WaitShare == 0 {
 		config.WaitShare = DefaultWaitShare
 	}
-	a := &Admitter{config: config, lastAdvance: config.Clock.Now(), holdAdded: make(chan struct{}, 1)}
+	a := &Admitter{config: config, service: config.Service.Name, lastAdvance: config.Clock.Now(), holdAdded: make(chan struct{}, 1)}
 	for i, rank := range eelgrassbeam.Ranks() {
 		policy := config.Service.Policy(rank)
 		a.ranks[i] = &rankState{rank: rank, floor: policy.Floor, queue: newFairQueue(policy.QueueLimit, config.Weights)}
--- a/admitter/policy_test.go
+++ b/admitter/policy_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 )
@@ -54,3 +55,20 @@
 		is.Equal(s.Load().Waiting, 1)
 	})
 }
+
+// Guards against a data race between a change of the policy and the record of a decision.
+func TestPolicyChangesBesideDecisions(t *testing.T) {
+	s := newSite(t, 1)
+	service := s.config.Service
+	var group errgroup.Group
+	group.Go(func() error {
+		for range 100 {
+			s.SetPolicy(service, nil)
+		}
+		return nil
+	})
+	for range 100 {
+		s.Submit(request("a", eelgrassbeam.RankUrgent), s.in(0), func(*Slot, error) {})
+	}
+	_ = group.Wait()
+}
--- a/admitter/record.go
+++ b/admitter/record.go
@@ -48,7 +48,7 @@
 }
 
 func (a *Admitter) record(d decision) {
-	service, rank := string(a.config.Service.Name), string(d.ticket.rank.rank)
+	service, rank := string(a.service), string(d.ticket.rank.rank)
 	wait := a.config.Clock.Now().Sub(d.ticket.queued)
 	if m := a.config.Metrics; m != nil && d.err == nil {
 		m.admitted.WithLabelValues(service, rank).Inc()
