Check the connections to the store while watching it

Callers' requests reached upstreams that had left, and some were cut there, after open connections to the store had gone silent: a watch without changes looks the same as one whose connection is silent, for up to 10 s.

An entry that watches the store now asks for a cheap answer every 0.6 to 1.2 s, at a tenth of the price of a call. After the first one that is missing for 0.7 s its watches start again on other connections, without counting the store as away. Where a part of the connections goes silent and the check gets a sound one, the old bound of 10 s remains.

--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -3,6 +3,7 @@
 package directserver
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -171,13 +172,19 @@
 	}
 	s.watcher = watcher.New(watcher.Config{
 		Store: s.store, Clock: s.config.Clock, Log: s.log, Observer: s.viewer, IsWatcher: s.gossiper.IsWatcher,
-		PeerWait: wait, NonWatcherPeerWait: nonWatcherPeerWait,
+		PeerWait: wait, NonWatcherPeerWait: nonWatcherPeerWait, CheckConnection: s.checkStore,
 		Sinks: platform.NewSinks(platform.SinkConfig{
 			Viewer: s.viewer, Clock: s.config.Clock, Log: s.log, Regions: s.config.Settings.Regions,
 		}),
 	})
 }
 
+// checkStore makes the cheapest call to the store, whose answer may be old.
+func (s *Server) checkStore(ctx context.Context) error {
+	_, err := s.store.ListStale(ctx, platform.KindEvacuations)
+	return err
+}
+
 func (s *Server) buildRequests() {
 	s.picker = picker.New(picker.Config{
 		Self: s.self, Clock: s.config.Clock, Log: s.log, Views: s.viewer, Entries: s.gossiper.LiveIDs,
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -68,6 +68,7 @@
 		if wasListed { // the list was of no use, so the next one may not be either
 			f.delay(ctx)
 		}
+	case errors.Is(err, errSilent): // tells nothing of the store itself
 	default:
 		observer.RecordFailure()
 		f.delay(ctx)
@@ -93,7 +94,12 @@
 	if f.isProbe {
 		wait = 0
 	}
-	events, err := f.watcher.config.Store.Watch(ctx, f.sink.Kind(), f.after, wait)
+	watching, end := f.watcher.beginWatch(ctx, f)
+	defer end()
+	events, err := f.watcher.config.Store.Watch(watching, f.sink.Kind(), f.after, wait)
+	if err != nil && errors.Is(context.Cause(watching), errSilent) {
+		return f.after, errSilent
+	}
 	if err != nil {
 		return f.after, err
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -63,13 +64,23 @@
 	// PeerWait is how long to wait at start for state from peers before listing the store. NonWatcherPeerWait is the
 	// minimum of that wait for an entry that doesn't watch the store.
 	PeerWait, NonWatcherPeerWait time.Duration
+	// CheckConnection makes a cheap call to the store. Nil for no checks of the connections.
+	CheckConnection func(ctx context.Context) error
 }
 
 // Watcher synchronizes its sinks with the store.
-type Watcher struct{ config Config }
+type Watcher struct {
+	config Config
+
+	mu sync.Mutex
+	// watches ends the watches in progress.
+	watches map[*follower]context.CancelCauseFunc
+}
 
 // New returns a Watcher.
-func New(config Config) *Watcher { return &Watcher{config: config} }
+func New(config Config) *Watcher {
+	return &Watcher{config: config, watches: make(map[*follower]context.CancelCauseFunc)}
+}
 
 // Run synchronizes all sinks until ctx is done.
 func (w *Watcher) Run(ctx context.Context) error {
@@ -77,6 +88,9 @@
 	for _, sink := range w.config.Sinks {
 		group.Go(func() error { return w.follow(ctx, sink) })
 	}
+	if w.config.CheckConnection != nil {
+		group.Go(func() error { return w.checkConnections(ctx) })
+	}
 	return group.Wait()
 }
 
