quotalimiter: forget what is gone, and read no entries without quotas

A keeper kept the entries that had ever reported, and the ledgers of teams that no longer have a quota; entries of deployments without quotas listed the members ten times a second for nothing. The soak's callers now belong to a team with a quota, and its probes use the credential that the latest version has taken away, which must not be taken.

--- a/quotalimiter/keeper.go
+++ b/quotalimiter/keeper.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// forget drops the ledgers of teams without a quota and the entries that no longer report.
+func (k *keeper) forget(quotas map[eelgrassbeam.TeamID]eelgrassbeam.Quota, now time.Time) {
+	for team := range k.ledgers {
+		if !quotas[team].IsLimited() {
+			delete(k.ledgers, team)
+		}
+	}
+	for id, at := range k.reporters {
+		if now.Sub(at) >= reporterTTL {
+			delete(k.reporters, id)
+		}
+	}
+}
+
 // isReporter reports whether the entry counts as one that reports to this keeper. A new keeper, to which not all have
 // reported yet, counts the live ones.
 func (k *keeper) isReporter(id eelgrassbeam.EntryID, isLive bool, now time.Time) bool {
--- a/quotalimiter/quotalimiter.go
+++ b/quotalimiter/quotalimiter.go
@@ -156,12 +156,16 @@
 
 // next returns the keeper and the report to send to it, if one is due.
 func (q *QuotaLimiter) next() (eelgrassbeam.Entry, Report, bool) {
-	entries, teams := q.config.Entries(), q.config.Teams()
+	quotas := quotasOf(q.config.Teams())
+	var entries []eelgrassbeam.Entry
+	if len(quotas) > 0 {
+		entries = q.config.Entries()
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Clock.Now()
-	q.refresh(entries, teams, now)
-	if len(q.quotas) == 0 {
+	q.refresh(entries, quotas, now)
+	if len(quotas) == 0 {
 		return eelgrassbeam.Entry{}, Report{}, false
 	}
 	report := Report{From: q.config.Self.ID}
@@ -181,19 +185,33 @@
 	return q.keeperEntry(now), report, true
 }
 
-// refresh reads the teams' quotas and the entries. The caller must hold q.mu.
-func (q *QuotaLimiter) refresh(entries []eelgrassbeam.Entry, teams []eelgrassbeam.Team, now time.Time) {
-	q.quotas = make(map[eelgrassbeam.TeamID]eelgrassbeam.Quota)
+// quotasOf returns the quotas of the teams that have one.
+func quotasOf(teams []eelgrassbeam.Team) map[eelgrassbeam.TeamID]eelgrassbeam.Quota {
+	quotas := make(map[eelgrassbeam.TeamID]eelgrassbeam.Quota)
 	for i := range teams {
 		if teams[i].Quota.IsLimited() {
-			q.quotas[teams[i].ID] = teams[i].Quota
+			quotas[teams[i].ID] = teams[i].Quota
 		}
 	}
+	return quotas
+}
+
+// refresh applies the quotas and the live entries, and forgets what neither needs. The caller must hold q.mu.
+func (q *QuotaLimiter) refresh(entries []eelgrassbeam.Entry, quotas map[eelgrassbeam.TeamID]eelgrassbeam.Quota, now time.Time) {
+	q.quotas = quotas
 	for team := range q.accounts {
-		if !q.quotas[team].IsLimited() {
+		if !quotas[team].IsLimited() {
 			delete(q.accounts, team)
 		}
 	}
+	for id, until := range q.suspects {
+		if !now.Before(until) {
+			delete(q.suspects, id)
+		}
+	}
+	if q.keeper != nil {
+		q.keeper.forget(quotas, now)
+	}
 	clear(q.live)
 	for _, entry := range entries {
 		q.live[entry.ID] = entry
--- a/standin/work.go
+++ b/standin/work.go
@@ -24,6 +24,8 @@
 	HeaderWork = "X-Standin-Work"
 	// HeaderBackend holds the backend's id.
 	HeaderBackend = "X-Standin-Id"
+	// HeaderTeamSeen holds the team for which the request came, or credentialSeen if it came with a credential.
+	HeaderTeamSeen = "X-Standin-Team"
 	// HeaderShed marks the rejection of a request that was not executed.
 	HeaderShed = "X-Eelgrassbeam-Shed"
 	// HeaderLeaving marks a rejection because the backend is draining.
@@ -31,6 +33,8 @@
 )
 
 const (
+	// credentialSeen stands for the team of a request with a credential, which no upstream may see.
+	credentialSeen = "(credential)"
 	// maxWorkBodyBytes is the maximum size of a request body.
 	maxWorkBodyBytes = 2 << 20
 	// noDeadline is the remaining time of a request without a deadline.
@@ -98,6 +102,12 @@
 func (b *Backend) setCommonHeaders(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	w.Header().Set(HeaderBackend, string(b.config.ID))
+	if team := r.Header.Get(platform.HeaderTeam); team != "" {
+		w.Header().Set(HeaderTeamSeen, team)
+	}
+	if r.Header.Get(platform.HeaderCredential) != "" {
+		w.Header().Set(HeaderTeamSeen, credentialSeen)
+	}
 	running, waiting := b.slots.load()
 	w.Header().Set(platform.HeaderServerLoad, fmt.Sprintf("%d,%d,%d", running, waiting, b.config.Slots))
 }
--- a/test/soak_callers_test.go
+++ b/test/soak_callers_test.go
@@ -11,6 +11,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam/platform"
+	"github.com/eelgrassbeam/eelgrassbeam/standin"
 )
 
 const (
@@ -120,14 +123,26 @@
 	return c.exchange(client, "http://"+e.callerLink.address(), method, path, key, time.Duration(5+random.IntN(55))*time.Millisecond, e)
 }
 
-// exchange sends one request, records the result, and returns it with the delay in Retry-After, at most 1 s.
+// exchange sends one request with the credential that all versions have, records the result, and returns it with the delay in
+// Retry-After, at most 1 s.
 func (c *soakCallers) exchange(client *http.Client, base, method, path, key string, work time.Duration, e *soakEntry) (soakRecord, time.Duration) {
+	record, retryAfter := c.exchangeWith(soakCredential, client, base, method, path, key, work, e)
+	c.mu.Lock()
+	c.records = append(c.records, record)
+	c.mu.Unlock()
+	return record, retryAfter
+}
+
+// exchangeWith is exchange with another credential. Its result isn't recorded with those of proper requests.
+func (c *soakCallers) exchangeWith(credential string, client *http.Client, base, method, path, key string, work time.Duration, e *soakEntry) (soakRecord, time.Duration) {
 	record := soakRecord{
 		id: fmt.Sprint("r", c.nextID.Add(1)), entry: e.name, path: path, incarnation: e.incarnation(), isIdempotent: method == http.MethodGet, began: time.Now(),
 	}
 	request := callRequest{base: base, method: method, host: soakHost, path: path + record.id, header: http.Header{}}
 	request.header.Set("X-Request-Id", record.id)
 	request.header.Set("X-Affinity-Key", key)
+	request.header.Set(platform.HeaderCredential, credential)
+	request.header.Set(platform.HeaderTeam, "forged")
 	request.header.Set("X-Deadline-Ms", strconv.FormatInt((soakClientTimeout-time.Second).Milliseconds(), 10))
 	request.header.Set("X-Standin-Work", work.String())
 	want := fmt.Appendf(nil, "%s %s\n", method, request.path)
@@ -141,9 +156,6 @@
 		record.fromBackend = response.header.Get("X-Standin-Id") != ""
 		record.violation = responseViolation(record, response, want)
 	}
-	c.mu.Lock()
-	c.records = append(c.records, record)
-	c.mu.Unlock()
 	seconds, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
 	if err != nil {
 		seconds = 0
@@ -154,6 +166,8 @@
 // responseViolation describes what is wrong with the response itself, or returns an empty string.
 func responseViolation(record soakRecord, response callResponse, want []byte) string {
 	switch {
+	case record.fromBackend && response.header.Get(standin.HeaderTeamSeen) != soakTeam:
+		return fmt.Sprintf("run for team %q", response.header.Get(standin.HeaderTeamSeen))
 	case record.fromBackend:
 		return responseMismatch(response, record.id, want)
 	case response.status < http.StatusMultipleChoices:
--- a/test/soak_operator_test.go
+++ b/test/soak_operator_test.go
@@ -18,6 +18,17 @@
 	"github.com/eelgrassbeam/eelgrassbeam/standin"
 )
 
+// soakTeam is the team of the soak's callers, soakCredential the one that all versions have.
+const (
+	soakTeam       = "soakers"
+	soakCredential = "credential-of-all-versions"
+	// soakQuota is above what the callers send, so that the quota refuses nothing.
+	soakQuota = 2000
+)
+
+// versionCredential is a credential that only this version of the configuration has.
+func versionCredential(version int) string { return fmt.Sprintf("credential-%d", version) }
+
 // versionPathStart starts the paths of the routes that versions of the configuration add.
 const versionPathStart = "/v"
 
@@ -80,6 +91,9 @@
 			"health_path": "/standin/health", "max_connections": 360, "cold_start": "0s", "cold_per_s": 50,
 		}})
 	}
+	resources = append(resources, map[string]any{"resource_kind": "tenants", "metadata": map[string]any{"name": soakTeam}, "spec": map[string]any{
+		"api_keys": []string{soakCredential, versionCredential(version)}, "rate_per_s": soakQuota, "burst": soakQuota,
+	}})
 	value, err := json.Marshal(map[string]any{"version": version, "resources": resources})
 	if err != nil {
 		return err
@@ -94,6 +108,15 @@
 	return o.versions
 }
 
+// latestTwo returns the latest version and the one before it, which has version 0 if there is none.
+func (o *soakOperator) latestTwo() (latest, before storedVersion) {
+	stored := o.storedVersions()
+	if len(stored) > 1 {
+		before = stored[len(stored)-2]
+	}
+	return stored[len(stored)-1], before
+}
+
 // latest returns the latest version that the store has accepted.
 func (o *soakOperator) latest() storedVersion {
 	stored := o.storedVersions()
--- a/test/soak_probe_test.go
+++ b/test/soak_probe_test.go
@@ -51,6 +51,9 @@
 		case found.missing && began.Sub(latest.at) > soakConfigDelay && !p.disruptions.disrupted(p.entry.name, began, found.record.ended, true):
 			errs = append(errs, fmt.Errorf("%s does not have configuration version %d in force after %s (request %s)", p.entry.name, latest.version, began.Sub(latest.at), found.record.id))
 		}
+		if err := p.checkRevocation(client); err != nil {
+			errs = append(errs, err)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(150 * time.Millisecond):
@@ -59,6 +62,21 @@
 	return errors.Join(errs...)
 }
 
+// checkRevocation requests the route that the latest version has added with the credential that it has taken away. An entry
+// with the route has a version without the credential.
+func (p versionProbe) checkRevocation(client *http.Client) error {
+	latest, before := p.callers.fleet.operator.latestTwo()
+	if before.version == 0 || before.version >= latest.version {
+		return nil
+	}
+	record, _ := p.callers.exchangeWith(
+		versionCredential(before.version), client, "http://"+p.entry.addresses["front"], http.MethodGet, versionPath(latest.version), "0", time.Millisecond, p.entry)
+	if !record.fromBackend {
+		return nil
+	}
+	return fmt.Errorf("%s took a credential that configuration version %d has taken away (request %s)", p.entry.name, latest.version, record.id)
+}
+
 func (p versionProbe) request(client *http.Client, version int) probed {
 	record, _ := p.callers.exchange(client, "http://"+p.entry.addresses["front"], http.MethodGet, versionPath(version), "0", time.Millisecond, p.entry)
 	missing := record.err == nil && record.status == http.StatusNotFound
