Refuse credentials where it isn't known that they are still valid

Where revoke_strict is set, an entry that can't learn of changes must not accept a credential for longer than revoke after it was taken away; it went on with the teams that it knew.

An entry whose confirmation is older than revoke answers requests of teams with 503, which another entry may serve. Elsewhere nothing changes: no field is sent and no call is made more.

TestStrictRevocation: three entries, of which one doesn't watch, accept for 5 s at a limit of 3 s, reject within the limit and 2 s while the store is down, and accept again after it.

--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -3,7 +3,6 @@
 package directserver
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -159,7 +158,8 @@
 func (s *Server) buildView() {
 	s.viewer = viewer.New(viewer.Config{
 		Clock: s.config.Clock, Log: s.log, DecodeRouting: platform.DecodeRouting, Heartbeat: s.config.Settings.Heartbeat,
-		ZoneReachesStore: func() bool { return s.gossiper.ZoneReachesStore() },
+		SharesConfirmations: s.mustConfirm(),
+		ZoneReachesStore:    func() bool { return s.gossiper.ZoneReachesStore() },
 	})
 	s.pool = peer.NewPool(peer.PoolConfig{Clock: s.config.Clock, Log: s.log, MaxMessageBytes: maxPeerMessageBytes})
 	s.gossiper = gossiper.New(gossiper.Config{
@@ -179,12 +179,6 @@
 	})
 }
 
-// checkStore makes the cheapest call to the store, whose answer may be old.
-func (s *Server) checkStore(ctx context.Context) error {
-	_, err := s.store.ListStale(ctx, platform.KindEvacuations)
-	return err
-}
-
 func (s *Server) buildRequests() {
 	s.picker = picker.New(picker.Config{
 		Self: s.self, Clock: s.config.Clock, Log: s.log, Views: s.viewer, Entries: s.gossiper.LiveIDs,
@@ -208,7 +202,7 @@
 		Buffers: bufferlimiter.New(bufferlimiter.Config{Bytes: bufferBytes(s.config.Settings), Registerer: s.registry}),
 		Metrics: forwarder.NewMetrics(s.registry), Entries: s.gossiper.LiveCount,
 		AffinityHeader: platform.HeaderAffinityKey, CredentialHeader: platform.HeaderCredential, TeamHeader: platform.HeaderTeam,
-		ResponseGrace: responseGrace, Authenticator: s.authenticator, Quotas: s.quotas,
+		ResponseGrace: responseGrace, Authenticator: s.authenticator, Quotas: s.quotas, AreTeamsCurrent: s.areTeamsCurrent,
 	})
 }
 
--- a/directserver/directserver_test.go
+++ b/directserver/directserver_test.go
@@ -43,6 +43,8 @@
 	entries  []*testEntry
 	// requests and registrations count those of the tests of the restored store.
 	requests, registrations int
+	// revokeLimit makes entries strict about credentials that may have been taken away, unless it is zero.
+	revokeLimit time.Duration
 }
 
 type testEntry struct {
@@ -164,6 +166,7 @@
 		ID: eelgrassbeam.EntryID(name), Zone: "z1", Region: "r1", Regions: map[eelgrassbeam.ZoneID]eelgrassbeam.RegionID{"z1": "r1", "z2": "r1"},
 		CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t), PeerAddress: freeAddress(t), DirectoryAddress: freeAddress(t),
 		MetricsAddress: freeAddress(t), StoreAddress: s.store, Seeds: s.seeds, LookupTTL: 5 * time.Second, StopGrace: 6 * time.Second,
+		RevokeLimit: s.revokeLimit, IsRevokeStrict: s.revokeLimit > 0,
 	}
 	s.seeds = append(s.seeds, settings.PeerAddress)
 	f, err := New(Config{
--- a/directserver/team_test.go
+++ b/directserver/team_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/eelgrassbeam/eelgrassbeam/platform"
+	"github.com/eelgrassbeam/eelgrassbeam/standin"
 )
 
 // teamConfiguration has a team with the credential and a quota in requests per second, zero for none.
@@ -115,3 +116,37 @@
 	})
 	is.New(t).Equal(leaked.Load(), int32(0))
 }
+
+// Guards against an entry that goes on to accept credentials which may have been taken away, where the settings forbid it. The
+// third entry doesn't watch the store and knows from peers that its teams are current.
+func TestStrictRevocation(t *testing.T) {
+	s := newTestCluster(t, 0)
+	s.revokeLimit = 3 * time.Second
+	s.put(t, platform.KindConfiguration, platform.MainConfiguration, teamConfiguration(t, 1, "first", 0))
+	entries := []*testEntry{s.start(t, "e1"), s.start(t, "e2"), s.start(t, "e3")}
+	accepts := func(e *testEntry) bool {
+		status, _ := e.send(t, "r", "first")
+		return status == http.StatusOK
+	}
+	for _, e := range entries {
+		eventually(t, "readiness", func() bool { return e.readyStatus(t) == http.StatusOK })
+		eventually(t, "teams that are current", func() bool { return accepts(e) })
+	}
+	for range 25 { // longer than the limit
+		for _, e := range entries {
+			is.New(t).True(accepts(e))
+		}
+		<-time.After(200 * time.Millisecond)
+	}
+	s.platform.SetFaults(standin.PlatformFaults{Down: true})
+	for _, e := range entries {
+		within(t, s.revokeLimit+2*time.Second, "a rejection", func() bool {
+			status, _ := e.send(t, "r", "first")
+			return status == http.StatusServiceUnavailable
+		})
+	}
+	s.platform.SetFaults(standin.PlatformFaults{})
+	for _, e := range entries {
+		eventually(t, "teams that are current again", func() bool { return accepts(e) })
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -86,6 +86,8 @@
 	// Authenticator finds the team of a credential. CredentialHeader is the name of the request header that holds it, and
 	// TeamHeader that of the header with the team's ID, which only this entry sets while there are teams.
 	Authenticator *authenticator.Authenticator
+	// AreTeamsCurrent reports whether the teams are known to be those of the latest configuration, as far as that matters.
+	AreTeamsCurrent func() bool
 	// Quotas decides on the requests of teams with a quota.
 	Quotas                       QuotaLimiter
 	CredentialHeader, TeamHeader string
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -106,7 +106,7 @@
 	return New(Config{
 		Clock: clock, Log: log, Views: views, Exchanger: s, Budget: fixedBudget{hasBudget}, Metrics: NewMetrics(prometheus.NewRegistry()),
 		Entries: func() int { return 1 }, AffinityHeader: "X-Key",
-		Quotas: fixedQuota{}, Authenticator: teams, CredentialHeader: "X-Credential", TeamHeader: "X-Team",
+		Quotas: fixedQuota{}, AreTeamsCurrent: func() bool { return true }, Authenticator: teams, CredentialHeader: "X-Credential", TeamHeader: "X-Team",
 		Buffers: bufferlimiter.New(bufferlimiter.Config{Bytes: testBufferBytes, Registerer: prometheus.NewRegistry()}),
 		Picker:  picker.New(picker.Config{Clock: clock, Log: log, Views: views, Entries: func() []eelgrassbeam.EntryID { return []eelgrassbeam.EntryID{""} }}),
 	})
--- a/forwarder/team.go
+++ b/forwarder/team.go
@@ -35,9 +35,15 @@
 	if err != nil {
 		return f.reject(c, credentialReason(err), http.StatusUnauthorized)
 	}
-	if team != nil {
-		c.team, c.request.Team = team, team.ID
+	if team == nil {
+		return nil
+	}
+	if !f.config.AreTeamsCurrent() {
+		rejection := f.reject(c, eelgrassbeam.ReasonNotReady, http.StatusServiceUnavailable)
+		rejection.retryAfter = notReadyRetryAfter
+		return rejection
 	}
+	c.team, c.request.Team = team, team.ID
 	return nil
 }
 
--- a/forwarder/team_test.go
+++ b/forwarder/team_test.go
@@ -130,6 +130,18 @@
 	is.Equal(s.targets, []eelgrassbeam.UpstreamID{"u1"})
 }
 
+// Guards against credentials that are accepted although they may have been taken away. The caller may try another entry.
+func TestTeamsThatMayBeOld(t *testing.T) {
+	s := &scriptedExchanger{steps: []step{answered}}
+	f, _ := newTeamForwarder(t, s)
+	f.config.AreTeamsCurrent = func() bool { return false }
+	is := is.New(t)
+	is.Equal(sendWith(f, "/post/", http.Header{"X-Credential": {"kb"}}).Code, 503)
+	is.Equal(sendWith(f, "/post/", http.Header{"X-Credential": {"other"}}).Code, 401)
+	is.Equal(len(s.requests), 0)
+	is.Equal(sendWith(f, "/public/", http.Header{}).Code, 200)
+}
+
 func TestQuota(t *testing.T) {
 	s := &scriptedExchanger{steps: []step{answered}}
 	f, _ := newTeamForwarder(t, s)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -111,6 +111,9 @@
 	RoutingVersion uint64                `json:"routing_version"`
 	Upstreams      eelgrassbeam.Revision `json:"upstreams"`
 	Evacuated      eelgrassbeam.Revision `json:"evacuated"`
+	// ConfirmedAge is how long ago the store last confirmed that the routing is the latest, directly or by way of peers; zero
+	// if that isn't known.
+	ConfirmedAge time.Duration `json:"confirmed_age,omitempty"`
 }
 
 // covers reports whether r is at least as recent as other in every component.
@@ -164,6 +167,8 @@
 	State(since Revisions) State
 	// Merge applies a peer's state.
 	Merge(state State)
+	// ConfirmRouting records that the version of the routing was the latest a time ago.
+	ConfirmRouting(version uint64, age time.Duration)
 }
 
 // Config configures a Gossiper.
--- a/gossiper/pull.go
+++ b/gossiper/pull.go
@@ -137,7 +137,9 @@
 	}
 	g.recordTransfer(operationPull, started, len(state.Routing), nil)
 	g.config.Replica.Merge(*state)
-	if after := g.config.Replica.Revisions(); after != before {
+	before.ConfirmedAge = 0
+	after := g.config.Replica.Revisions()
+	if after.ConfirmedAge = 0; after != before {
 		g.config.Log.WithFields(logrus.Fields{
 			"event": "pulled", "address": address, "upstreams_revision": after.Upstreams, "routing_version": after.RoutingVersion,
 			"evacuated_revision": after.Evacuated, "upstreams_revision_before": before.Upstreams,
--- a/gossiper/pull_test.go
+++ b/gossiper/pull_test.go
@@ -40,6 +40,8 @@
 	return State{Revisions: r.revisions}
 }
 
+func (r *fakeReplica) ConfirmRouting(uint64, time.Duration) {}
+
 func (r *fakeReplica) Merge(state State) { r.set(state.Revisions) }
 
 func (r *fakeReplica) set(revisions Revisions) {
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -149,6 +149,10 @@
 
 // recordRevisions records the revisions of a member's state.
 func (g *Gossiper) recordRevisions(id eelgrassbeam.EntryID, revisions Revisions) {
+	if revisions.ConfirmedAge > 0 {
+		g.config.Replica.ConfirmRouting(revisions.RoutingVersion, revisions.ConfirmedAge)
+	}
+	revisions.ConfirmedAge = 0 // it grows old
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if r := g.records[id]; r != nil {
--- a/viewer/replica.go
+++ b/viewer/replica.go
@@ -14,8 +14,14 @@
 
 // Revisions implements gossiper.Replica.
 func (v *Viewer) Revisions() gossiper.Revisions {
-	view := v.view.Load()
-	return revisionsOf(view)
+	revisions := revisionsOf(v.view.Load())
+	if !v.config.SharesConfirmations {
+		return revisions
+	}
+	if age, ok := v.ConfirmedAge(); ok {
+		revisions.ConfirmedAge = max(age, 1)
+	}
+	return revisions
 }
 
 func revisionsOf(view *eelgrassbeam.View) gossiper.Revisions {
@@ -32,6 +38,9 @@
 	defer v.mu.Unlock()
 	view := v.view.Load()
 	state := gossiper.State{Revisions: revisionsOf(view)}
+	if v.config.SharesConfirmations && !v.confirmedAt.IsZero() {
+		state.Revisions.ConfirmedAge = max(v.config.Clock.Now().Sub(v.confirmedAt), 1)
+	}
 	if state.Revisions.RoutingVersion > since.RoutingVersion {
 		state.Routing, state.RoutingRevision = v.routingValue, view.RoutingRevision
 	}
@@ -81,6 +90,9 @@
 	if len(state.Routing) > 0 && state.Revisions.RoutingVersion > local.RoutingVersion {
 		v.UpdateRouting(state.Routing, state.RoutingRevision, sourcePeer)
 	}
+	if state.Revisions.ConfirmedAge > 0 {
+		v.ConfirmRouting(state.Revisions.RoutingVersion, state.Revisions.ConfirmedAge)
+	}
 	if state.Revisions.Upstreams > local.Upstreams && len(state.ColdFor) == len(state.Upstreams) {
 		v.mergeUpstreams(state)
 	}
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -41,6 +41,8 @@
 	Heartbeat time.Duration
 	// ZoneReachesStore reports whether the store responds to the watchers of this entry's zone, as far as is known.
 	ZoneReachesStore func() bool
+	// SharesConfirmations reports whether peers are told how long ago the routing was confirmed.
+	SharesConfirmations bool
 }
 
 // trackedUpstream is an upstream with the time of its removal, zero unless its registration has expired, and the time
@@ -93,6 +95,8 @@
 	wasStoreAway bool
 	// tombstonesSince is the store revision from which the tombstones are complete.
 	tombstonesSince eelgrassbeam.Revision
+	// confirmedAt is when the store last confirmed that the current routing is the latest; zero if it hasn't.
+	confirmedAt time.Time
 	// routingValue is the stored form of the current routing.
 	routingValue []byte
 	// evacuations holds the evacuated zones with the end of their retention, zero for those in the store.
@@ -187,7 +191,10 @@
 		}
 		return
 	}
-	v.routingValue = value
+	v.routingValue, v.confirmedAt = value, time.Time{}
+	if source != sourcePeer {
+		v.confirmedAt = received // the store's answers are the latest
+	}
 	v.publish(view.WithRouting(routing, revision))
 	v.config.Log.WithFields(logrus.Fields{
 		"event": "configuration_in_force", "version": routing.Version, "revision": revision, "source": source,
