--- a/test/soak_callers_test.go
+++ b/test/soak_callers_test.go
@@ -54,6 +54,8 @@
 
 	mu      sync.Mutex
 	records []soakRecord
+	// floods are the requests of the team that is beyond its quota.
+	floods []soakRecord
 }
 
 // run sends requests as one caller, on persistent connections, until ctx is done.
@@ -154,7 +156,7 @@
 	record.ended, record.status, record.err = time.Now(), response.status, err
 	if err == nil {
 		record.fromBackend = response.header.Get("X-Standin-Id") != ""
-		record.violation = responseViolation(record, response, want)
+		record.violation = responseViolation(record, response, want, teamOf(credential))
 	}
 	seconds, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
 	if err != nil {
@@ -164,9 +166,9 @@
 }
 
 // responseViolation describes what is wrong with the response itself, or returns an empty string.
-func responseViolation(record soakRecord, response callResponse, want []byte) string {
+func responseViolation(record soakRecord, response callResponse, want []byte, team string) string {
 	switch {
-	case record.fromBackend && response.header.Get(standin.HeaderTeamSeen) != soakTeam:
+	case record.fromBackend && response.header.Get(standin.HeaderTeamSeen) != team:
 		return fmt.Sprintf("run for team %q", response.header.Get(standin.HeaderTeamSeen))
 	case record.fromBackend:
 		return responseMismatch(response, record.id, want)
--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -52,6 +52,7 @@
 // soakCheck compares the callers' records with the requests that backends executed.
 type soakCheck struct {
 	records     []soakRecord
+	floods      []soakRecord
 	executions  []soakExecution
 	evacuations []soakEvacuation
 	// disrupted reports whether the entry or backend was disrupted between from and to or shortly before. Planned
@@ -79,6 +80,15 @@
 				record.began.Format(time.StampMilli), record.ended.Format(time.StampMilli), record.status, errorOf(record), len(ran[record.id]), violation))
 		}
 	}
+	for _, flood := range c.floods {
+		sentIDs[flood.id] = true
+		if flood.violation != "" {
+			violations = append(violations, fmt.Errorf("%s of team %s via %s: %s", flood.id, floodTeam, flood.entry, flood.violation))
+		}
+	}
+	if err := checkFlood(c.floods, ran); err != nil {
+		violations = append(violations, err)
+	}
 	for id := range ran {
 		if !sentIDs[id] {
 			violations = append(violations, fmt.Errorf("%s was executed, but no caller sent it", id))
--- a/test/soak_operator_test.go
+++ b/test/soak_operator_test.go
@@ -94,6 +94,9 @@
 	resources = append(resources, map[string]any{"resource_kind": "tenants", "metadata": map[string]any{"name": soakTeam}, "spec": map[string]any{
 		"api_keys": []string{soakCredential, versionCredential(version)}, "rate_per_s": soakQuota, "burst": soakQuota,
 	}})
+	resources = append(resources, map[string]any{"resource_kind": "tenants", "metadata": map[string]any{"name": floodTeam}, "spec": map[string]any{
+		"api_keys": []string{floodCredential}, "rate_per_s": floodQuota, "burst": floodQuota,
+	}})
 	value, err := json.Marshal(map[string]any{"version": version, "resources": resources})
 	if err != nil {
 		return err
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -132,6 +132,10 @@
 			return nil
 		})
 	}
+	load.Go(func() error {
+		s.callers.flood(ctx, c.seed)
+		return nil
+	})
 	var probes errgroup.Group
 	for _, e := range s.fleet.entries {
 		probes.Go(func() error {
@@ -221,7 +225,7 @@
 			s.t.Error(err)
 		}
 	}
-	c := soakCheck{records: s.callers.records, executions: executions, evacuations: s.fleet.operator.evacuations, disrupted: s.disruptions.disrupted}
+	c := soakCheck{records: s.callers.records, floods: s.callers.floods, executions: executions, evacuations: s.fleet.operator.evacuations, disrupted: s.disruptions.disrupted}
 	for _, violation := range c.violations() {
 		s.t.Error(violation)
 	}
