gossiper: count only watchers that refuse pings as gone

Now only a ping that is refused, as by a lost process, makes a watcher not count, and no connection is closed.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -202,8 +202,8 @@
 	member    Member
 	lastHeard time.Time
 	failed    bool
-	// unansweredAt is when the member last left a ping unanswered; zero once it has answered another.
-	unansweredAt time.Time
+	// refusesPings is set while no process takes the member's connections.
+	refusesPings bool
 	// revisions are the last known revisions of the member's state.
 	revisions Revisions
 }
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -14,7 +14,7 @@
 )
 
 // IsWatcher reports whether this entry watches the store: fewer than watchersPerZone other members of its zone that are
-// live, answer pings, reach the store and aren't leaving precede it by ID. Its own state is not taken into account.
+// live, don't refuse pings, reach the store and aren't leaving precede it by ID. Its own state is not taken into account.
 func (g *Gossiper) IsWatcher() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -22,7 +22,7 @@
 	for id, r := range g.records {
 		member := r.member
 		if id < g.config.Self.ID && member.Entry.Zone == g.config.Self.Zone && member.IsStoreReachable &&
-			member.Entry.State == eelgrassbeam.InstanceLive && r.unansweredAt.IsZero() && !r.failed && now.Sub(r.lastHeard) < failureTimeout {
+			member.Entry.State == eelgrassbeam.InstanceLive && !r.refusesPings && !r.failed && now.Sub(r.lastHeard) < failureTimeout {
 			before++
 		}
 	}
--- a/gossiper/vigil.go
+++ b/gossiper/vigil.go
@@ -6,20 +6,23 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
 	"github.com/eelgrassbeam/eelgrassbeam/peer"
 )
 
 const (
-	// vigilInterval is the time between pings of the zone's watchers by an entry that relies on them. With vigilTimeout it
-	// leaves half of the time within which a change has to take effect for watching the store itself.
+	// vigilInterval is the time between pings of the zone's watchers by an entry that relies on them. It leaves most of the
+	// time within which a change has to take effect for watching the store itself.
 	vigilInterval = 600 * time.Millisecond
 	vigilTimeout  = 400 * time.Millisecond
 )
 
 // pingWatchers pings the watchers of this zone while this entry isn't one of them. A lost heartbeat shows a lost watcher only
-// after failureTimeout, which is longer than a change may take to be in force.
+// after failureTimeout, which is longer than a change may take to be in force; a refused connection shows at once that its
+// process is gone.
 func (g *Gossiper) pingWatchers(ctx context.Context) error {
 	for {
 		select {
@@ -31,7 +34,7 @@
 	}
 }
 
-// watchersToPing returns the members before this entry that watch the store or would if they answered pings; none if this
+// watchersToPing returns the members before this entry that watch the store or would if they took connections; none if this
 // entry watches whatever they do.
 func (g *Gossiper) watchersToPing() []Member {
 	var found []Member
@@ -67,14 +70,10 @@
 	if err != nil {
 		return err
 	}
-	err = peer.SendPing(ctx, conn)
-	if ctx.Err() != nil {
-		g.config.Pool.Evict(m.Entry.PeerAddress, conn) // it may have gone silent
-	}
-	return err
+	return peer.SendPing(ctx, conn)
 }
 
-// recordPing records whether the member answers.
+// recordPing records whether the member refuses connections.
 func (g *Gossiper) recordPing(ctx context.Context, m Member, err error) {
 	if ctx.Err() != nil {
 		return
@@ -82,13 +81,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.records[m.Entry.ID]
-	if r == nil || (err == nil) == r.unansweredAt.IsZero() {
+	if r == nil {
 		return
 	}
-	if err == nil {
-		r.unansweredAt = time.Time{}
-	} else {
-		r.unansweredAt = g.config.Clock.Now()
+	// An answer that is late or a connection that this entry closes tells nothing: it may be behind a large transfer on a slow
+	// link, and an entry that took over then would load the link even more.
+	if err != nil && status.Code(err) != codes.Unavailable || r.refusesPings == (err != nil) {
+		return
 	}
-	g.config.Log.WithFields(logrus.Fields{"event": "watcher_ping", "peer": m.Entry.ID, "is_answered": err == nil, "error": err}).Info("")
+	r.refusesPings = err != nil
+	g.config.Log.WithFields(logrus.Fields{"event": "watcher_ping", "peer": m.Entry.ID, "is_refused": r.refusesPings, "error": err}).Info("")
 }
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/eelgrassbeam/eelgrassbeam/platform"
 )
 
 const (
@@ -120,6 +122,7 @@
 	}
 	request.Host, request.Close = soakHost, true
 	request.Header.Set("X-Request-Id", id)
+	request.Header.Set(platform.HeaderCredential, soakCredential)
 	response, err := (&http.Client{Timeout: soakClientTimeout}).Do(request)
 	if err != nil {
 		return 0, err
