quotalimiter: take over limits from the keeper before

A new keeper counted a team as limited only if the first entry that reported it was limited; where that was one just restarted, the team got a whole burst again, and all entries that reported were told that there is no limit.

--- a/quotalimiter/keeper.go
+++ b/quotalimiter/keeper.go
@@ -37,6 +37,7 @@
 
 // ledger holds one team's tokens and the demand of each entry.
 type ledger struct {
+	createdAt time.Time
 	tokens    float64
 	tokensAt  time.Time
 	isLimited bool
@@ -87,12 +88,12 @@
 	depth := max(quota.Burst, 1)
 	l := k.ledgers[usage.Team]
 	if l == nil {
-		l = &ledger{tokens: depth, tokensAt: now, demands: make(map[eelgrassbeam.EntryID]demand)}
-		if usage.IsLimited { // by another keeper
-			l.tokens, l.isLimited = limitLevel*depth, true
-		}
+		l = &ledger{createdAt: now, tokens: depth, tokensAt: now, demands: make(map[eelgrassbeam.EntryID]demand)}
 		k.ledgers[usage.Team] = l
 	}
+	if usage.IsLimited && now.Sub(l.createdAt) < limitTerm { // by the keeper before this one
+		l.tokens, l.isLimited = min(l.tokens, limitLevel*depth), true
+	}
 	l.tokens = min(depth, l.tokens+now.Sub(l.tokensAt).Seconds()*quota.PerSecond) - float64(usage.Admitted)
 	l.tokensAt = now
 	own := l.observe(from, usage.Arrived, now)
--- a/quotalimiter/simulation_test.go
+++ b/quotalimiter/simulation_test.go
@@ -374,6 +374,19 @@
 			}
 		}
 	}},
+	{"a hot team, the keeper and others restarted again and again", false, func(s *simulation, elapsed time.Duration) {
+		makeHot(0, 7.5)(s, elapsed)
+		k, ok := s.strategy.(*keeping)
+		if !ok || elapsed < 5*time.Second || elapsed%time.Second != 0 {
+			return
+		}
+		keeper := k.limiters[0].keeperEntry(s.clock.Now()).ID
+		for i := range k.limiters {
+			if s.entries[i].ID == keeper || s.random.IntN(5) == 0 {
+				k.limiters[i] = k.newLimiter(i)
+			}
+		}
+	}},
 	{"a quota lowered to a fifth", false, func(s *simulation, elapsed time.Duration) {
 		if at(elapsed, 4*time.Second) {
 			s.hot = 0
