Call one piece where the change had written a second one

Read again as a whole; behaviour stays as it is.

- A call to another entry stood in granter and again in quotalimiter: both use peer.CallEntry.
- The live entries were filtered in directserver as in gossiper.LiveIDs: both use gossiper.LiveEntries.
- Ambiguous paths were decided alike in matcher and for a Service: both use IsAmbiguousPath.
- Interim and final responses of a caller's connection were written by the same lines twice: both go through send.
- account kept the counts of a report that the report itself holds.
- A service's teams were counted in a map for each slot that was assigned; the rotators know them.
The team of a request that hadn't waited was checked twice.
- The age of a confirmation for peers was worked out in two places, and a fault's place was cut out of its text again.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -38,8 +38,7 @@
 func Check(routing *eelgrassbeam.Routing, options Options) []Finding {
 	c := check{routing: routing, options: options}
 	for _, fault := range routing.Faults {
-		place, problem, _ := strings.Cut(fault.String(), ": ")
-		c.add(SeverityError, place, "%s", problem)
+		c.add(SeverityError, fault.Place(), "%s", fault.Problem)
 	}
 	c.checkRoutes()
 	c.checkServices()
--- a/defaults.go
+++ b/defaults.go
@@ -108,9 +108,7 @@
 
 // IsAmbiguous reports whether the path has dot segments that lead to another route than its prefix does.
 func (s Service) IsAmbiguous(method, escapedPath string) bool {
-	path := NormalizePath(escapedPath)
-	resolved := ResolveDotSegments(path)
-	return resolved != path && s.routeIndex(method, path) != s.routeIndex(method, resolved)
+	return IsAmbiguousPath(escapedPath, func(path string) int { return s.routeIndex(method, path) })
 }
 
 func (s Service) routeIndex(method, path string) int {
--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -192,7 +192,7 @@
 		},
 	})
 	s.quotas = quotalimiter.New(quotalimiter.Config{
-		Self: s.self, Clock: s.config.Clock, Log: s.log, Entries: s.liveEntries, Teams: s.teams,
+		Self: s.self, Clock: s.config.Clock, Log: s.log, Entries: s.gossiper.LiveEntries, Teams: s.teams,
 		Overage: s.config.Settings.QuotaOverage, Slack: s.config.Settings.QuotaSlack,
 		Reporter: quotalimiter.NewPeerReporter(s.pool), Registerer: s.registry,
 	})
@@ -256,17 +256,6 @@
 	return routing.Teams
 }
 
-// liveEntries returns the live entries that aren't leaving.
-func (s *Server) liveEntries() []eelgrassbeam.Entry {
-	var entries []eelgrassbeam.Entry
-	for _, m := range s.gossiper.Members() {
-		if m.Entry.State == eelgrassbeam.InstanceLive {
-			entries = append(entries, m.Entry)
-		}
-	}
-	return entries
-}
-
 // bufferBytes returns the budget for buffered bodies.
 func bufferBytes(settings platform.Settings) int64 {
 	memory := settings.MemoryBytes
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -211,9 +211,11 @@
 			return f.acquireErrorOutcome(c, err)
 		}
 		c.lastSlot, c.waited = slot, c.waited+slot.Waited
-		if rejection := f.checkTeam(c); slot.Waited > 0 && rejection != nil {
-			slot.Release(picker.ResultAbandoned, eelgrassbeam.SiteLoad{})
-			return *rejection
+		if slot.Waited > 0 {
+			if rejection := f.checkTeam(c); rejection != nil {
+				slot.Release(picker.ResultAbandoned, eelgrassbeam.SiteLoad{})
+				return *rejection
+			}
 		}
 		last = f.attempt(ctx, c, slot)
 		if !last.isRetryable(c.request.Idempotent || f.retriesNonIdempotent) || ctx.Err() != nil {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -268,14 +268,23 @@
 	return members
 }
 
-// LiveIDs returns the sorted IDs of the live members that aren't leaving.
-func (g *Gossiper) LiveIDs() []eelgrassbeam.EntryID {
-	var ids []eelgrassbeam.EntryID
+// LiveEntries returns the live members that aren't leaving, sorted by ID.
+func (g *Gossiper) LiveEntries() []eelgrassbeam.Entry {
+	var entries []eelgrassbeam.Entry
 	for _, m := range g.Members() {
 		if m.Entry.State == eelgrassbeam.InstanceLive {
-			ids = append(ids, m.Entry.ID)
+			entries = append(entries, m.Entry)
 		}
 	}
+	return entries
+}
+
+// LiveIDs returns the IDs of LiveEntries.
+func (g *Gossiper) LiveIDs() []eelgrassbeam.EntryID {
+	var ids []eelgrassbeam.EntryID
+	for _, entry := range g.LiveEntries() {
+		ids = append(ids, entry.ID)
+	}
 	return ids
 }
 
--- a/granter/wire.go
+++ b/granter/wire.go
@@ -82,15 +82,11 @@
 
 // Ask implements Asker.
 func (p PeerClient) Ask(ctx context.Context, to eelgrassbeam.Entry, request CreditRequest) (CreditReply, error) {
-	conn, err := p.pool.Conn(to.PeerAddress)
+	reply, err := peer.CallEntry[CreditReply](ctx, p.pool, to, Service, methodAsk, &request)
 	if err != nil {
 		return CreditReply{}, askError(to.ID, err)
 	}
-	reply, err := peer.Call[CreditReply](ctx, conn, Service, methodAsk, &request)
-	if err != nil {
-		return CreditReply{}, askError(to.ID, err)
-	}
-	return *reply, nil
+	return reply, nil
 }
 
 func askError(to eelgrassbeam.EntryID, err error) error {
--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -294,9 +294,7 @@
 	hasEnded := false
 	for x := range c.pending {
 		if x.isInterim {
-			if !hasEnded && !c.writeInterim(writer) {
-				hasEnded = true
-			}
+			hasEnded = hasEnded || !c.send(writer, writeInterim)
 			continue
 		}
 		<-x.done
@@ -308,14 +306,9 @@
 			_ = c.conn.Close()
 			continue
 		}
-		_ = c.conn.SetWriteDeadline(c.server.config.Clock.Now().Add(writeTimeout))
-		err := x.response.httpResponse(x.request, isLast).Write(writer)
-		if err == nil {
-			err = writer.Flush()
-		}
+		isSent := c.send(writer, x.response.httpResponse(x.request, isLast).Write)
 		x.response.written()
-		if err != nil {
-			c.disconnect()
+		if !isSent {
 			continue
 		}
 		if isLast {
@@ -325,25 +318,25 @@
 	}
 }
 
-// writeInterim writes the interim response and reports whether that succeeded.
-func (c *connection) writeInterim(writer *bufio.Writer) bool {
+func writeInterim(w io.Writer) error {
+	_, err := io.WriteString(w, interimResponse)
+	return err
+}
+
+// send writes to the caller and reports whether that succeeded. If it fails, it closes the connection and cancels its requests.
+func (c *connection) send(writer *bufio.Writer, write func(io.Writer) error) bool {
 	_ = c.conn.SetWriteDeadline(c.server.config.Clock.Now().Add(writeTimeout))
-	_, err := writer.WriteString(interimResponse)
+	err := write(writer)
 	if err == nil {
 		err = writer.Flush()
 	}
 	if err != nil {
-		c.disconnect()
+		c.cancel()
+		_ = c.conn.Close()
 	}
 	return err == nil
 }
 
-// disconnect closes the connection after a failed write and cancels its requests.
-func (c *connection) disconnect() {
-	c.cancel()
-	_ = c.conn.Close()
-}
-
 // markAnswered counts a request as answered and reports whether its response is the last one of the connection.
 func (c *connection) markAnswered() bool {
 	c.mu.Lock()
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -50,12 +50,9 @@
 	return route, route != nil
 }
 
-// IsAmbiguous reports whether the path has dot segments that lead to another route than its prefix does. Upstreams may
-// resolve dot segments, so that such a request could act on what another route is for.
+// IsAmbiguous reports whether the path has dot segments that lead to another route than its prefix does.
 func (m *Matcher) IsAmbiguous(host, escapedPath string) bool {
-	path := eelgrassbeam.NormalizePath(escapedPath)
-	resolved := eelgrassbeam.ResolveDotSegments(path)
-	return resolved != path && m.find(host, path) != m.find(host, resolved)
+	return eelgrassbeam.IsAmbiguousPath(escapedPath, func(path string) *eelgrassbeam.PathRoute { return m.find(host, path) })
 }
 
 // find returns the route with the longest prefix of a normalized path, nil for none.
--- a/path.go
+++ b/path.go
@@ -24,6 +24,15 @@
 	return strings.Join(segments, "/")
 }
 
+// IsAmbiguousPath reports whether the dot segments of an escaped path lead to another route than its prefix does. Upstreams may
+// resolve dot segments, so that such a request could act on what another route is for. find finds the route of a normalized
+// path.
+func IsAmbiguousPath[Route comparable](escaped string, find func(normalized string) Route) bool {
+	path := NormalizePath(escaped)
+	resolved := ResolveDotSegments(path)
+	return resolved != path && find(path) != find(resolved)
+}
+
 // ResolveDotSegments returns a normalized path without its segments "." and "..", as an upstream may read it.
 func ResolveDotSegments(normalized string) string {
 	if !strings.Contains(normalized, "/.") {
--- a/peer/method.go
+++ b/peer/method.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"google.golang.org/grpc"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
 )
 
 // UnaryMethod returns the gRPC descriptor of a unary method whose handler is handle.
@@ -25,6 +27,22 @@
 	return grpc.MethodDesc{MethodName: name, Handler: call}
 }
 
+// CallEntry invokes a unary method of another entry on a connection of the pool.
+func CallEntry[Response, Request any](
+	ctx context.Context, pool *Pool, to eelgrassbeam.Entry, service, name string, request *Request,
+) (Response, error) {
+	var none Response
+	conn, err := pool.Conn(to.PeerAddress)
+	if err != nil {
+		return none, err
+	}
+	response, err := Call[Response](ctx, conn, service, name, request)
+	if err != nil {
+		return none, err
+	}
+	return *response, nil
+}
+
 // Call invokes a unary method described by UnaryMethod. An error is a gRPC status error.
 func Call[Response, Request any](
 	ctx context.Context, conn grpc.ClientConnInterface, service, name string, request *Request, options ...grpc.CallOption,
--- a/picker/fairness.go
+++ b/picker/fairness.go
@@ -75,15 +75,10 @@
 
 // hasSeveralTeams reports whether requests of more than one team wait with one priority.
 func (s *service) hasSeveralTeams() bool {
-	if len(s.waitingCounts) < 2 {
-		return false
-	}
-	seen := make(map[int]bool, len(s.rotators))
-	for key := range s.waitingCounts {
-		if seen[key.priority] {
+	for _, rotator := range s.rotators {
+		if rotator.Len() > 1 {
 			return true
 		}
-		seen[key.priority] = true
 	}
 	return false
 }
--- a/quotalimiter/account.go
+++ b/quotalimiter/account.go
@@ -33,10 +33,8 @@
 // account is what an entry knows of one team's requests.
 type account struct {
 	quota eelgrassbeam.Quota
-	// arrived and admitted count the requests since the latest report, sentArrived and sentAdmitted those in a report that
-	// isn't answered yet.
-	arrived, admitted         int
-	sentArrived, sentAdmitted int
+	// arrived and admitted count the requests since the latest report.
+	arrived, admitted int
 	// pendingSince is when the first request arrived that no answer covers; zero for none.
 	pendingSince time.Time
 	// reportedAt is when the latest report was sent.
@@ -102,14 +100,13 @@
 
 // take moves the counts into a report.
 func (a *account) take(team eelgrassbeam.TeamID, now time.Time) Usage {
-	a.sentArrived, a.sentAdmitted = a.arrived, a.admitted
+	usage := Usage{Team: team, Arrived: a.arrived, Admitted: a.admitted, IsLimited: now.Before(a.limitedUntil)}
 	a.arrived, a.admitted, a.reportedAt = 0, 0, now
-	return Usage{Team: team, Arrived: a.sentArrived, Admitted: a.sentAdmitted, IsLimited: now.Before(a.limitedUntil)}
+	return usage
 }
 
 // answered applies the keeper's answer to the latest report; a negative limit means none.
 func (a *account) answered(now time.Time, limit float64) {
-	a.sentArrived, a.sentAdmitted = 0, 0
 	a.pendingSince = time.Time{}
 	if a.arrived > 0 {
 		a.pendingSince = now
@@ -124,8 +121,7 @@
 	a.limit, a.limitedUntil = limit, now.Add(limitTerm)
 }
 
-// unanswered returns the counts of a report that got no answer, so that the next one holds them.
-func (a *account) unanswered() {
-	a.arrived, a.admitted = a.arrived+a.sentArrived, a.admitted+a.sentAdmitted
-	a.sentArrived, a.sentAdmitted = 0, 0
+// unanswered takes back the counts of a report that got no answer, so that the next one holds them.
+func (a *account) unanswered(usage Usage) {
+	a.arrived, a.admitted = a.arrived+usage.Arrived, a.admitted+usage.Admitted
 }
--- a/quotalimiter/keeper.go
+++ b/quotalimiter/keeper.go
@@ -113,14 +113,13 @@
 
 // observe updates the demand of an entry and returns it.
 func (l *ledger) observe(from eelgrassbeam.EntryID, arrived int, now time.Time) float64 {
-	before, isKnown := l.demands[from]
-	elapsed := max(now.Sub(before.reportedAt), limitedReportInterval/2)
-	if !isKnown || elapsed > demandTTL {
-		elapsed = demandTTL
-	}
-	latest := float64(arrived) / elapsed.Seconds()
-	next := demand{perSecond: latest, reportedAt: now}
-	if isKnown && now.Sub(before.reportedAt) <= demandTTL {
+	before := l.demands[from]
+	elapsed := now.Sub(before.reportedAt)
+	next := demand{reportedAt: now}
+	if elapsed > demandTTL { // or the entry isn't known
+		next.perSecond = float64(arrived) / demandTTL.Seconds()
+	} else {
+		latest := float64(arrived) / max(elapsed, limitedReportInterval/2).Seconds()
 		next.perSecond = before.perSecond + demandWeight*(latest-before.perSecond)
 	}
 	l.demands[from] = next
--- a/quotalimiter/quotalimiter.go
+++ b/quotalimiter/quotalimiter.go
@@ -285,7 +285,7 @@
 			continue
 		}
 		if err != nil {
-			a.unanswered()
+			a.unanswered(usage)
 			continue
 		}
 		limit, isLimited := limits[usage.Team]
--- a/quotalimiter/wire.go
+++ b/quotalimiter/wire.go
@@ -61,13 +61,9 @@
 
 // Report implements Reporter.
 func (p PeerReporter) Report(ctx context.Context, to eelgrassbeam.Entry, report Report) (Answer, error) {
-	conn, err := p.pool.Conn(to.PeerAddress)
+	answer, err := peer.CallEntry[Answer](ctx, p.pool, to, Service, methodReport, &report)
 	if err != nil {
 		return Answer{}, fmt.Errorf("report to %s: %w: %w", to.ID, eelgrassbeam.ErrUnavailable, err)
 	}
-	answer, err := peer.Call[Answer](ctx, conn, Service, methodReport, &report)
-	if err != nil {
-		return Answer{}, fmt.Errorf("report to %s: %w: %w", to.ID, eelgrassbeam.ErrUnavailable, err)
-	}
-	return *answer, nil
+	return answer, nil
 }
--- a/routing.go
+++ b/routing.go
@@ -88,7 +88,10 @@
 }
 
 // String returns the fault in one line.
-func (f RoutingFault) String() string {
+func (f RoutingFault) String() string { return f.Place() + ": " + f.Problem }
+
+// Place returns the resource and the field at fault.
+func (f RoutingFault) Place() string {
 	place := f.Resource
 	if f.Name != "" {
 		place += " " + f.Name
@@ -96,7 +99,7 @@
 	if f.Field != "" {
 		place += ", " + f.Field
 	}
-	return place + ": " + f.Problem
+	return place
 }
 
 // View is an immutable snapshot of this system's data on the platform, with the store revision of each part.
--- a/teamrotator/teamrotator.go
+++ b/teamrotator/teamrotator.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// Len returns the number of teams.
+func (r *Rotator) Len() int { return r.active.Len() }
+
 // Order returns the teams in the order of the rotation.
 func (r *Rotator) Order() []eelgrassbeam.TeamID {
 	order := make([]eelgrassbeam.TeamID, 0, r.active.Len())
--- a/viewer/confirmation.go
+++ b/viewer/confirmation.go
@@ -19,3 +19,15 @@
 	defer v.mu.Unlock()
 	return v.config.Clock.Now().Sub(v.confirmedAt), !v.confirmedAt.IsZero()
 }
+
+// sharedAge returns the age that peers are told, zero if there is none.
+func (v *Viewer) sharedAge() time.Duration {
+	if !v.config.SharesConfirmations {
+		return 0
+	}
+	age, ok := v.ConfirmedAge()
+	if !ok {
+		return 0
+	}
+	return max(age, 1)
+}
--- a/viewer/replica.go
+++ b/viewer/replica.go
@@ -15,12 +15,7 @@
 // Revisions implements gossiper.Replica.
 func (v *Viewer) Revisions() gossiper.Revisions {
 	revisions := revisionsOf(v.view.Load())
-	if !v.config.SharesConfirmations {
-		return revisions
-	}
-	if age, ok := v.ConfirmedAge(); ok {
-		revisions.ConfirmedAge = max(age, 1)
-	}
+	revisions.ConfirmedAge = v.sharedAge()
 	return revisions
 }
 
@@ -34,13 +29,12 @@
 
 // State implements gossiper.Replica.
 func (v *Viewer) State(since gossiper.Revisions) gossiper.State {
+	age := v.sharedAge()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	view := v.view.Load()
 	state := gossiper.State{Revisions: revisionsOf(view)}
-	if v.config.SharesConfirmations && !v.confirmedAt.IsZero() {
-		state.Revisions.ConfirmedAge = max(v.config.Clock.Now().Sub(v.confirmedAt), 1)
-	}
+	state.Revisions.ConfirmedAge = age
 	if state.Revisions.RoutingVersion > since.RoutingVersion {
 		state.Routing, state.RoutingRevision = v.routingValue, view.RoutingRevision
 	}
