review: answers that the protocol tells to be spoilt reach the client as a success

An upstream in trouble answers with a field name that is none and breaks off, in HTTP/1.0 with chunks, or without a receipt.

--- a/review/harness-2/upstream.go
+++ b/review/harness-2/upstream.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,11 +21,15 @@
 	slots       int
 	work        time.Duration
 	born        int64
+	// lines is the number of lines of an answer.
+	lines int
 
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
 	running  int
+	// spoil writes a spoilt answer to some requests; nil for none.
+	spoil    func(conn net.Conn, u *upstream, id string) bool
 	sequence int
 	hasEnded bool
 }
@@ -33,7 +38,7 @@
 func (d *deployment) addUpstream(service, zone string, slots int, work time.Duration) (*upstream, error) {
 	u := &upstream{
 		deployment: d, id: fmt.Sprintf("i-%s-%d", service, len(d.servers)+1), service: service, zone: zone, slots: slots, work: work,
-		address: address(d.nextIP(), upstreamPort), born: now().UnixMilli(), conns: make(map[net.Conn]bool),
+		address: address(d.nextIP(), upstreamPort), born: now().UnixMilli(), lines: 1, conns: make(map[net.Conn]bool),
 	}
 	listener, err := net.Listen("tcp", u.address)
 	if err != nil {
@@ -118,6 +123,9 @@
 	u.deployment.recordRun(id, u.id)
 	u.deployment.record.line("run      %s %s %s at %s, %d bytes", id, request.Method, request.URL, u.id, len(body))
 	sleep(u.work)
+	if spoil := u.spoiler(); spoil != nil && spoil(conn, u, id) {
+		return false
+	}
 	text := u.answer(id)
 	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"X-Server-Stamp: "+u.id+"."+id+"\r\nContent-Length: "+strconv.Itoa(len(text))+"\r\n\r\n"+text)
 	if err == nil {
@@ -127,7 +135,21 @@
 }
 
 // answer returns the body of the answer to a request.
-func (u *upstream) answer(id string) string { return "done by " + u.id + ": " + id + "\n" }
+func (u *upstream) answer(id string) string {
+	return strings.Repeat("done by "+u.id+": "+id+"\n", u.lines)
+}
+
+func (u *upstream) setSpoil(spoil func(conn net.Conn, u *upstream, id string) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.spoil = spoil
+}
+
+func (u *upstream) spoiler() func(conn net.Conn, u *upstream, id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.spoil
+}
 
 func (u *upstream) enter(change int) {
 	u.mu.Lock()
