review: large entries of another writer stop all entries from hearing of upstreams

Twelve entries of 1 MB among the upstreams make the answer of the next watch larger than the client takes, and the watch is repeated from the same revision until the store drops its history. Requests go to upstreams that have left.

--- a/review/harness-2/foreign.go
+++ b/review/harness-2/foreign.go
@@ -1,11 +1,6 @@
 package main
 
-import (
-	"fmt"
-	"strings"
-	"sync"
-	"time"
-)
+import "time"
 
 const (
 	foreignUpstreams = 6
@@ -54,43 +49,7 @@
 		r.line("store: another writer has put servers/i-other, whose service is (none)")
 	}
 	sleep(stableWindow)
-	leaving := d.servers[:foreignLeaving]
-	acked := map[string]time.Time{}
-	for _, u := range leaving {
-		acked[u.id] = u.register("draining")
-	}
-	started := now()
-	var clients sync.WaitGroup
-	sent := map[string]string{}
-	for n := 0; since(started) < drainBound+foreignExtra; n++ {
-		for _, e := range d.entries {
-			id := newID()
-			sent[id] = e.name
-			clients.Go(func() { confirmSeat(r, e, seat, id, n) })
-		}
-		sleep(foreignInterval)
-	}
-	for _, u := range leaving {
-		u.exit()
-	}
-	clients.Wait()
-	late := 0
-	for id, entry := range sent {
-		for _, each := range d.runsOf(id) {
-			if ack, isLeaving := acked[each.upstream]; isLeaving && each.at.Sub(ack) > drainBound {
-				late++
-				r.line("LATE     %s of %s reached %s %s after the ack", id, entry, each.upstream, each.at.Sub(ack).Round(time.Millisecond))
-			}
-		}
-	}
-	r.say("%d requests, %d of them reached an upstream later than drain after it reported draining", len(sent), late)
+	late, cut := playLeaving(d, seat, leavingPlan{count: foreignLeaving, interval: foreignInterval, extra: foreignExtra})
+	r.say("%d requests reached an upstream later than drain after it reported draining; %d of them got no success", late, cut)
 	return late > 0, nil
 }
-
-func confirmSeat(r *record, e *entry, seat route, id string, n int) {
-	r.line("sent     %s to %s", id, e.name)
-	got, err := sendOnce(address(e.ip, frontPort), attempt{
-		method: "POST", path: fmt.Sprint(seat.prefix, n%24), id: id, key: fmt.Sprint(n % 24), body: "two seats", deadline: 4 * time.Second,
-	})
-	r.line("client   %s: status %d, stamp %s, error %v, %s", id, got.status, got.stamp, err, strings.TrimSpace(got.body))
-}
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -10,8 +10,15 @@
 	"time"
 )
 
-// longestWatch is the longest wait of a watch.
-const longestWatch = 30 * time.Second
+const (
+	// longestWatch is the longest wait of a watch.
+	longestWatch = 30 * time.Second
+	// historyFor is how long the store keeps its history.
+	historyFor = 20 * time.Second
+	// pageItems and pageBytes bound a page of a list. A larger object has a page of its own.
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 // storedObject is an object as the store returns it.
 type storedObject struct {
@@ -32,6 +39,7 @@
 	Deleted bool         `json:"deleted"`
 	kind    string
 	at      uint64
+	written time.Time
 }
 
 // objectStore is a stand-in for the platform's store.
@@ -40,7 +48,9 @@
 	at      uint64
 	kinds   map[string]map[string]storedObject
 	history []storedChange
-	news    chan struct{}
+	// lostUpTo is the revision of the latest change that the history no longer holds.
+	lostUpTo uint64
+	news     chan struct{}
 }
 
 func newObjectStore() *objectStore {
@@ -92,6 +102,7 @@
 
 // tell must be called with s.mu held.
 func (s *objectStore) tell(change storedChange) {
+	change.written = now()
 	s.history = append(s.history, change)
 	close(s.news)
 	s.news = make(chan struct{})
@@ -130,7 +141,19 @@
 		}
 		return 1
 	})
-	respond(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "at": at})
+	page := firstPage(items)
+	respond(w, http.StatusOK, map[string]any{"items": page, "has_more": len(page) < len(items), "at": at})
+}
+
+func firstPage(items []storedObject) []storedObject {
+	size := 0
+	for i, each := range items {
+		size += len(each.Spec)
+		if i > 0 && (size > pageBytes || i == pageItems) {
+			return items[:i]
+		}
+	}
+	return items
 }
 
 func (s *objectStore) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -139,6 +162,8 @@
 	end := after(min(time.Duration(wait)*time.Millisecond, longestWatch))
 	for isOver := false; ; {
 		s.mu.Lock()
+		s.forget()
+		isLost := from < s.lostUpTo
 		events, at, news := []storedChange{}, s.at, s.news
 		for _, each := range s.history {
 			if each.kind == kind && each.at > from {
@@ -146,6 +171,10 @@
 			}
 		}
 		s.mu.Unlock()
+		if isLost {
+			respond(w, http.StatusGone, map[string]any{})
+			return
+		}
 		if isOver || len(events) > 0 {
 			respond(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
@@ -160,6 +189,14 @@
 	}
 }
 
+// forget drops the history that is older than historyFor. The caller must hold s.mu.
+func (s *objectStore) forget() {
+	for len(s.history) > 0 && since(s.history[0].written) > historyFor {
+		s.lostUpTo = s.history[0].at
+		s.history = s.history[1:]
+	}
+}
+
 func (s *objectStore) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	object, isKnown := s.kinds[r.PathValue("kind")][r.PathValue("name")]
