review: a grace that changes in the settings doesn't hold until the next start

An entry whose settings change grace from 6 s to 10 s, told by SIGHUP, still cuts the requests in progress 5.4 s after SIGTERM.

--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -19,6 +19,7 @@
 const (
 	stableWindow = 3 * time.Second
 	drainBound   = 2500 * time.Millisecond
+	graceBound   = 6 * time.Second
 )
 
 // The ports of all machines, each of which has a loopback address of its own.
@@ -112,14 +113,16 @@
 	deployment *deployment
 	name, ip   string
 	zone       string
-	process    *exec.Cmd
-	ended      chan struct{}
-	log        *os.File
+	// grace is the time between SIGTERM and SIGKILL in the settings.
+	grace   time.Duration
+	process *exec.Cmd
+	ended   chan struct{}
+	log     *os.File
 }
 
 // addEntry adds a machine in the zone, which isn't started yet.
 func (d *deployment) addEntry(zone string) *entry {
-	e := &entry{deployment: d, name: fmt.Sprintf("front-%s-%d", zone, len(d.entries)+1), ip: d.nextIP(), zone: zone}
+	e := &entry{deployment: d, name: fmt.Sprintf("front-%s-%d", zone, len(d.entries)+1), ip: d.nextIP(), zone: zone, grace: graceBound}
 	d.entries = append(d.entries, e)
 	return e
 }
@@ -140,9 +143,9 @@
 }
 
 func (e *entry) start(isBootstrap bool) error {
-	path := filepath.Join(e.deployment.folder, e.name+".toml")
-	if err := os.WriteFile(path, []byte(e.settings(isBootstrap)), 0o600); err != nil {
-		return fmt.Errorf("%w: %w", errCannotRun, err)
+	path, err := e.writeSettings(isBootstrap)
+	if err != nil {
+		return err
 	}
 	log, err := os.OpenFile(filepath.Join(e.deployment.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -166,6 +169,18 @@
 	return nil
 }
 
+// writeSettings replaces the settings file and returns its path.
+func (e *entry) writeSettings(isBootstrap bool) (string, error) {
+	path := filepath.Join(e.deployment.folder, e.name+".toml")
+	if err := os.WriteFile(path+".new", []byte(e.settings(isBootstrap)), 0o600); err != nil {
+		return "", fmt.Errorf("%w: %w", errCannotRun, err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return "", fmt.Errorf("%w: %w", errCannotRun, err)
+	}
+	return path, nil
+}
+
 func (e *entry) signal(s syscall.Signal) {
 	e.deployment.record.line("%s gets %s", e.name, s)
 	_ = e.process.Process.Signal(s)
@@ -285,7 +300,7 @@
 ack_timeout = "4000ms"
 catch_up = "4s"
 drain = "2500ms"
-grace = "6s"
+grace = %q
 loss_slack = "200ms"
 config = "2500ms"
 rollback_slack = "250ms"
@@ -301,7 +316,7 @@
 max_shift = 0.15
 `, e.name, e.ip, e.zone, regionOf(e.zone), isBootstrap, firstInternal, lastInternal, strings.Join(seeds, ","),
 		address(e.ip, frontPort), address(e.ip, readyPort), address(e.ip, controlPort), address(e.ip, directoryPort),
-		strings.Join(zones, "\n"), address(e.deployment.storeIP, storePort))
+		strings.Join(zones, "\n"), address(e.deployment.storeIP, storePort), e.grace.String())
 }
 
 // regionOf returns the region of a zone of the site salones-te.
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -17,6 +17,7 @@
 // scenarios play a case and report whether its rule was broken.
 var scenarios = map[string]func(r *record, hasTrouble bool) (isBroken bool, err error){
 	"foreign": playForeign,
+	"grace":   playGrace,
 	"junk":    playJunk,
 	"spoilt":  playSpoilt,
 }
