--- a/review/harness-2/grace.go
+++ b/review/harness-2/grace.go
@@ -30,12 +30,12 @@
 	}
 	defer d.close()
 	listing := route{
-		name: "event-listing", prefix: "/listing/", kind: "idempotent", service: "ceremonias",
+		name: "event-listing", prefix: "/listing/", kind: "idempotent", service: "reservas",
 		timeout: listingTimeout, target: 5 * time.Second, priority: 2,
 	}
 	d.putConfig(3, listing)
 	for range 16 {
-		if _, err := d.addUpstream("ceremonias", "quito-a", 6, listingWork); err != nil {
+		if _, err := d.addUpstream("reservas", "quito-a", 6, listingWork); err != nil {
 			return false, err
 		}
 	}
