review: watches on silent connections aren't noticed while another connection works

The connections to the store on which watches wait go silent and the others go on: entries hear of upstreams that leave up to 10 s late.

--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -114,15 +114,17 @@
 	name, ip   string
 	zone       string
 	// grace is the time between SIGTERM and SIGKILL in the settings.
-	grace   time.Duration
-	process *exec.Cmd
-	ended   chan struct{}
-	log     *os.File
+	grace time.Duration
+	// storeAddress is that of the store in the settings.
+	storeAddress string
+	process      *exec.Cmd
+	ended        chan struct{}
+	log          *os.File
 }
 
 // addEntry adds a machine in the zone, which isn't started yet.
 func (d *deployment) addEntry(zone string) *entry {
-	e := &entry{deployment: d, name: fmt.Sprintf("front-%s-%d", zone, len(d.entries)+1), ip: d.nextIP(), zone: zone, grace: graceBound}
+	e := &entry{deployment: d, name: fmt.Sprintf("front-%s-%d", zone, len(d.entries)+1), ip: d.nextIP(), zone: zone, grace: graceBound, storeAddress: address(d.storeIP, storePort)}
 	d.entries = append(d.entries, e)
 	return e
 }
@@ -316,7 +318,7 @@
 max_shift = 0.15
 `, e.name, e.ip, e.zone, regionOf(e.zone), isBootstrap, firstInternal, lastInternal, strings.Join(seeds, ","),
 		address(e.ip, frontPort), address(e.ip, readyPort), address(e.ip, controlPort), address(e.ip, directoryPort),
-		strings.Join(zones, "\n"), address(e.deployment.storeIP, storePort), e.grace.String())
+		strings.Join(zones, "\n"), e.storeAddress, e.grace.String())
 }
 
 // regionOf returns the region of a zone of the site salones-te.
--- a/review/harness-2/foreign.go
+++ b/review/harness-2/foreign.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	foreignUpstreams = 6
+	foreignUpstreams = 8
 	foreignLeaving   = 2
 	// foreignWork is the work of one request.
 	foreignWork = 840 * time.Millisecond
@@ -49,7 +49,7 @@
 		r.line("store: another writer has put servers/i-other, whose service is (none)")
 	}
 	sleep(stableWindow)
-	late, cut := playLeaving(d, seat, leavingPlan{count: foreignLeaving, interval: foreignInterval, extra: foreignExtra})
+	late, cut := playLeaving(d, seat, leavingPlan{upstreams: d.servers[:foreignLeaving], interval: foreignInterval, extra: foreignExtra})
 	r.say("%d requests reached an upstream later than drain after it reported draining; %d of them got no success", late, cut)
 	return late > 0, nil
 }
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -16,10 +16,11 @@
 
 // scenarios play a case and report whether its rule was broken.
 var scenarios = map[string]func(r *record, hasTrouble bool) (isBroken bool, err error){
-	"foreign": playForeign,
-	"grace":   playGrace,
-	"junk":    playJunk,
-	"spoilt":  playSpoilt,
+	"foreign":   playForeign,
+	"forgotten": playForgotten,
+	"grace":     playGrace,
+	"junk":      playJunk,
+	"spoilt":    playSpoilt,
 }
 
 func main() { os.Exit(run2(os.Args[1:])) }
