--- a/review/harness-2/proxy.go
+++ b/review/harness-2/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -79,7 +80,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF || isCall {
+			if !errors.Is(err, io.EOF) || isCall {
 				_ = from.Close()
 			}
 			return
