--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -35,7 +35,10 @@
 )
 
 const (
-	host         = "ficu95.example"
+	host = "ficu95.example"
+	// firstNetwork and networks are the second bytes of the loopback addresses that a case may take.
+	firstNetwork = 16
+	networks     = 200
 	startTimeout = 15 * time.Second
 )
 
@@ -69,9 +72,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
-	d := &deployment{record: r, folder: folder, store: newObjectStore(), runs: make(map[string][]run), network: 16 + os.Getpid()%200}
-	d.storeIP = d.nextIP()
-	listener, err := net.Listen("tcp", address(d.storeIP, storePort))
+	d := &deployment{record: r, folder: folder, store: newObjectStore(), runs: make(map[string][]run)}
+	listener, err := d.takeNetwork()
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
@@ -79,6 +81,18 @@
 	return d, nil
 }
 
+// takeNetwork chooses the loopback addresses of the case, so that no other run has them, and returns the store's listener.
+func (d *deployment) takeNetwork() (listener net.Listener, err error) {
+	for i := range networks {
+		d.network, d.hosts = firstNetwork+(os.Getpid()+i)%networks, 0
+		d.storeIP = d.nextIP()
+		if listener, err = net.Listen("tcp", address(d.storeIP, storePort)); err == nil {
+			return listener, nil
+		}
+	}
+	return nil, err
+}
+
 // nextIP returns a loopback address that no other machine of the case has.
 func (d *deployment) nextIP() string {
 	d.hosts++
