upstream: no reset counts as the end of an answer

Callers got a part of an answer as a complete one: an upstream answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. If the write of the upload gets that error, the socket is closed for reading as well, and the read behind it returns io.EOF, which ends a body without a length. net/http closes the connection after the failed write, but the read is often quicker. Answers with a length or in chunks weren't affected: they name their end.

trackedConn now remembers a write that failed. At io.EOF it rejects further writes, expires the deadline of the one in progress and waits for its result, so that a write which has taken the error but hasn't returned yet is seen, too. If one had failed, the read returns its error in place of io.EOF.

Stays accepted: an answer without a length that ends by a close or a half-close, also before the request is written; and one that ended in order before the upstream reset what was still being sent, which the kernel tells by EPIPE. Answers with a length or in chunks are complete once their end is there, whatever follows.

--- a/upstream/tracked_conn.go
+++ b/upstream/tracked_conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
@@ -14,7 +16,7 @@
 const writeChunkBytes = 64 << 10
 
 // trackedConn records whether any byte of an exchange was written to the socket, and extends the read and write
-// deadlines whenever bytes are written or read.
+// deadlines whenever bytes are written or read. Its stream ends with io.EOF only if the upstream has closed it in order.
 type trackedConn struct {
 	net.Conn
 	clock           eelgrassbeam.Clock
@@ -26,6 +28,10 @@
 	writesClosed     bool
 	writesInProgress int   // calls to the socket's Write
 	bytesWritten     int64 // bytes written in the current exchange
+	// writeFailure is the error of a write that tells that the connection broke off.
+	writeFailure error
+	// writesEnded is closed when writesInProgress falls to zero after the end of the stream; nil if nothing waits.
+	writesEnded chan struct{}
 }
 
 // beginExchange resets the byte count and sets the progress timeout.
@@ -86,21 +92,64 @@
 	c.writesInProgress++
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
+	err = c.endWrite(n, err)
+	c.recordIO(n, err)
+	return n, err
+}
+
+// endWrite records the result of a write to the socket and returns its error.
+func (c *trackedConn) endWrite(n int, err error) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.writesInProgress--
 	c.bytesWritten += int64(n)
-	c.mu.Unlock()
-	c.recordIO(n, err)
-	return n, err
+	if c.writesEnded != nil && c.writesInProgress == 0 {
+		close(c.writesEnded)
+		c.writesEnded = nil
+	}
+	switch {
+	case err == nil, errors.Is(err, net.ErrClosed), errors.Is(err, syscall.EPIPE):
+		// EPIPE comes before any reset only if the upstream has closed the connection in order.
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		c.writeFailure = err
+	case c.writesClosed:
+		return net.ErrClosed // stopWrites has expired the deadline
+	}
+	return err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The kernel reports that a connection broke off only once: if a write got that error, the stream
+// seems to end in order.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if failure := c.stopWrites(); failure != nil {
+			err = failure
+		}
+	}
 	c.recordIO(n, err)
 	return n, err
 }
 
+// stopWrites rejects all further writes, ends the one in progress and returns the error of a write to a connection that
+// broke off, nil if none.
+func (c *trackedConn) stopWrites() error {
+	c.mu.Lock()
+	c.writesClosed = true
+	if c.writesInProgress > 0 {
+		c.writesEnded = make(chan struct{})
+		_ = c.SetWriteDeadline(c.clock.Now())
+	}
+	ended := c.writesEnded
+	c.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeFailure
+}
+
 // recordIO extends the deadlines after progress and records whether one was exceeded.
 func (c *trackedConn) recordIO(n int, err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
