--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -17,8 +17,8 @@
 	ErrRequestIDMismatch = errors.New("response does not carry the request's id")
 	// ErrTruncated reports a response that ended early or whose end can't be verified.
 	ErrTruncated = errors.New("response is incomplete")
-	// ErrStatus reports a response whose status is not a final HTTP status.
-	ErrStatus = errors.New("response has an invalid status")
+	// ErrHead reports a response with an invalid head.
+	ErrHead = errors.New("response has an invalid head")
 	// ErrTooLarge reports a response body above the limit.
 	ErrTooLarge = errors.New("response exceeds the body limit")
 	// ErrNoBuffer reports a response body for which no buffer space became free in time.
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -10,10 +10,9 @@
 	"slices"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/headchecker"
 )
 
-const maxStatus = 599
-
 // IsLeaving reports whether the reply says that the upstream accepts no new requests.
 func IsLeaving(reply eelgrassbeam.Reply) bool { return isTrue(reply.Header, HeaderLeaving) }
 
@@ -21,12 +20,12 @@
 func (c *Client) receive(
 	ctx context.Context, conn *connection, response *http.Response, request eelgrassbeam.Request, limits Limits,
 ) (eelgrassbeam.Reply, error) {
+	if err := headchecker.Check(response); err != nil {
+		return eelgrassbeam.Reply{}, fmt.Errorf("%w: %w", ErrHead, err)
+	}
 	if err := c.checkRequestID(response, request.ID, limits); err != nil {
 		return eelgrassbeam.Reply{}, err
 	}
-	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
-		return eelgrassbeam.Reply{}, fmt.Errorf("%w: status %d", ErrStatus, response.StatusCode)
-	}
 	body, err := c.readBody(ctx, conn, response, request.Method, limits)
 	if err != nil {
 		return eelgrassbeam.Reply{}, err
