headchecker: reject answers with a field name that is none

Callers got answers of an upstream in trouble in whose head the name of a field held a blank: with that line passed on ("X Odd: 1"), as a part of the line before ("\r\n X-Odd: 1"), or, where it was the line of the length or of the transfer coding, with a body that was cut short or held the sizes of its chunks.

Cause: net/textproto rejects control bytes in a name, but keeps blanks in it, and joins a line that begins with a blank to the line before.

headchecker.Check looks at the names of a parsed head. A blank at the start of a name can't be seen there any more, so Scanner checks the bytes of the connections to upstreams before they are parsed, those of interim answers included. Folded lines (obs-fold), which RFC 9112 (5.2) forbids to senders, are rejected as it allows.

Stay accepted: any token as a name in either case, values that are empty, hold blanks, colons or obsolete text, with or without blanks around them, lines without a carriage return, no reason phrase, HTTP/1.0, answers without a length that end by a close, interim answers (TestAnswerWithUnusualHead).

--- a/directserver/odd_status_test.go
+++ b/directserver/odd_answer_test.go
@@ -22,8 +22,9 @@
 	"101 Switching Protocols", "100 Continue", "103 Early Hints", "",
 }
 
-// serveRaw answers each request with the status line and closes the connection.
-func serveRaw(t *testing.T, status string) netip.AddrPort {
+// serveRaw answers each request with what follows "HTTP/1.1 ", in which %s stands for the request's ID, and closes the
+// connection.
+func serveRaw(t *testing.T, answer string) netip.AddrPort {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -41,7 +42,7 @@
 					return nil
 				}
 				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok", status, request.Header.Get("X-Request-Id"))
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 "+answer, request.Header.Get("X-Request-Id"))
 				return nil
 			})
 		}
@@ -53,26 +54,27 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-// Guards against an answer with a status that is none, of an upstream in trouble, that reaches the caller as an answer. The
-// request may have run, so that the caller must not be told that it hasn't.
-func TestOddStatusesDoNotReachCallers(t *testing.T) {
+// requireBadGateway checks that none of the answers reaches a caller as one. The request may have run, so that the caller must
+// not be told that it hasn't.
+func requireBadGateway(t *testing.T, answers []string) {
+	t.Helper()
 	s := newTestCluster(t, 0)
 	var resources []any
-	for i, status := range oddStatuses {
+	for i, answer := range answers {
 		service := fmt.Sprintf("odd%d", i)
 		resources = append(resources, map[string]any{"resource_kind": "routes", "metadata": map[string]any{"name": service}, "spec": map[string]any{
 			"host": "a.example", "path_prefix": "/" + service + "/", "kind": "non_idempotent", "timeout": "5s", "service": service,
 		}})
 		s.put(t, platform.KindUpstreams, service, fmt.Sprintf(
-			`{"service":%q,"address":%q,"zone":"z1","slots":3,"state":"ready","cold_remaining":"0ms","sequence":1,"born":1}`, service, serveRaw(t, status)))
+			`{"service":%q,"address":%q,"zone":"z1","slots":3,"state":"ready","cold_remaining":"0ms","sequence":1,"born":1}`, service, serveRaw(t, answer)))
 	}
 	text, err := json.Marshal(map[string]any{"version": 1, "resources": resources})
 	is.New(t).NoErr(err)
 	s.put(t, platform.KindConfiguration, platform.MainConfiguration, string(text))
 	entry := s.start(t, "e1")
 	eventually(t, "readiness", func() bool { return entry.readyStatus(t) == http.StatusOK })
-	for i, status := range oddStatuses {
-		t.Run(fmt.Sprintf("%q", status), func(t *testing.T) {
+	for i, answer := range answers {
+		t.Run(fmt.Sprintf("%q", answer), func(t *testing.T) {
 			is := is.New(t)
 			code, body := entry.post(t, fmt.Sprintf("/odd%d/x", i), fmt.Sprintf("r%d", i))
 			is.Equal(code, http.StatusBadGateway)
@@ -80,3 +82,21 @@
 		})
 	}
 }
+
+// Guards against an answer with a status that is none, of an upstream in trouble, that reaches the caller as an answer.
+func TestOddStatusesDoNotReachCallers(t *testing.T) {
+	var answers []string
+	for _, status := range oddStatuses {
+		answers = append(answers, status+"\r\nX-Request-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok")
+	}
+	requireBadGateway(t, answers)
+}
+
+// Guards against an answer with a field name that is none, of an upstream in trouble, that reaches the caller as an answer.
+func TestInvalidFieldNamesDoNotReachCallers(t *testing.T) {
+	var answers []string
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1", " X-Odd: 1", "X\x01Odd: 1", "Content-Length : 1", "Transfer-Encoding : chunked"} {
+		answers = append(answers, "200 OK\r\nX-Request-Id: %s\r\nX-Server-Stamp: s\r\n"+line+"\r\n\r\nok")
+	}
+	requireBadGateway(t, answers)
+}
--- a/headchecker/headchecker.go
+++ b/headchecker/headchecker.go
@@ -6,17 +6,28 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const maxStatus = 599
 
-// ErrStatus reports a status that is not a final one of HTTP.
-var ErrStatus = errors.New("invalid status")
+var (
+	// ErrStatus reports a status that is not a final one of HTTP.
+	ErrStatus = errors.New("invalid status")
+	// ErrFieldName reports a field whose name is not a token.
+	ErrFieldName = errors.New("invalid field name")
+)
 
 // Check returns an error if the response has an invalid head, so that nothing that it says may be used.
 func Check(response *http.Response) error {
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return fmt.Errorf("%w %d", ErrStatus, response.StatusCode)
 	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w %q", ErrFieldName, name)
+		}
+	}
 	return nil
 }
--- /dev/null
+++ b/upstream/head_test.go
@@ -0,0 +1,80 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/eelgrassbeam/eelgrassbeam"
+)
+
+// exchangeWithHead returns the reply to a request that is answered with the lines as its head and the body "body".
+func exchangeWithHead(t *testing.T, lines ...string) eelgrassbeam.Reply {
+	t.Helper()
+	target, _ := serveRaw(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, strings.Join(lines, "\r\n")+"\r\n\r\nbody")
+		_ = conn.Close()
+	})
+	reply, _ := newUnframedClient(t).Exchange(testContext(t), target, newPost("r1", ""), testLimits)
+	return reply
+}
+
+const (
+	statusLine = "HTTP/1.1 200 OK"
+	idLine     = "X-Request-Id: r1"
+	lengthLine = "Content-Length: 4"
+)
+
+// Guards against an answer in whose head the name of a field holds a blank or a control byte: the client got it with that
+// line passed on, or, without the length that the line should have given, with a body cut short.
+func TestAnswerWithInvalidFieldName(t *testing.T) {
+	for _, line := range []string{
+		"X Odd: 1", "X-Odd : 1", " X-Odd: 1", "\tX-Odd: 1", " ", "X\tOdd: 1", "X-Odd\t: 1", "X\x00Odd: 1", "X\x01Odd: 1", "X\x7fOdd: 1",
+		"X\rOdd: 1", "\rX-Odd: 1", "X-\x80dd: 1", ": 1", "X-Odd",
+	} {
+		t.Run(line, func(t *testing.T) {
+			for _, head := range [][]string{
+				{statusLine, line, idLine, lengthLine},
+				{statusLine, idLine, lengthLine, "X-Stamp: s", line},
+				{statusLine, idLine, lengthLine, line},
+				{"HTTP/1.1 103 Early Hints", line, "", statusLine, idLine, lengthLine},
+			} {
+				assertOutcome(t, exchangeWithHead(t, head...), eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonUpstreamFailed)
+			}
+		})
+	}
+	for _, line := range []string{"Content-Length : 9", " Content-Length: 9", "Transfer-Encoding : chunked", "Transfer Encoding: chunked"} {
+		t.Run(line, func(t *testing.T) {
+			assertOutcome(t, exchangeWithHead(t, statusLine, idLine, "X-Stamp: s", line), eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonUpstreamFailed)
+		})
+	}
+}
+
+// Unusual heads that are valid stay accepted.
+func TestAnswerWithUnusualHead(t *testing.T) {
+	for name, head := range map[string][]string{
+		"characters of a token": {statusLine, idLine, lengthLine, "!#$%&'*+-.^_`|~0aZ: 1"},
+		"lower case":            {statusLine, strings.ToLower(idLine), strings.ToLower(lengthLine)},
+		"no blank before value": {statusLine, "X-Request-Id:r1", "Content-Length:4"},
+		"blanks around a value": {statusLine, "X-Request-Id: \t r1 \t", lengthLine},
+		"empty value":           {statusLine, idLine, "X-Odd:", lengthLine},
+		"colons in a value":     {statusLine, idLine, "X-Odd: a : b: c", lengthLine},
+		"obsolete text":         {statusLine, idLine, "X-Odd: \xe9", lengthLine},
+		"no reason":             {"HTTP/1.1 200 ", idLine, lengthLine},
+		"HTTP/1.0":              {"HTTP/1.0 200 OK", idLine, lengthLine},
+		"end by close":          {"HTTP/1.0 200 OK", idLine},
+		"interim answers":       {"HTTP/1.1 100 Continue", "", "HTTP/1.1 103 Early Hints", "Link: </a>", "", statusLine, idLine, lengthLine},
+		"long name":             {statusLine, idLine, strings.Repeat("x", 5000) + ": 1", lengthLine},
+		"no carriage returns":   {strings.Join([]string{statusLine, idLine, lengthLine, "", "body"}, "\n")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reply := exchangeWithHead(t, head...)
+			assertOutcome(t, reply, eelgrassbeam.OutcomeAnswered, "")
+			is.New(t).Equal(string(reply.Body), "body")
+		})
+	}
+}
--- a/upstream/tracked_conn.go
+++ b/upstream/tracked_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -11,12 +12,14 @@
 	"time"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/headchecker"
 )
 
 const writeChunkBytes = 64 << 10
 
 // trackedConn records whether any byte of an exchange was written to the socket, and extends the read and write
-// deadlines whenever bytes are written or read. Its stream ends with io.EOF only if the upstream has closed it in order.
+// deadlines whenever bytes are written or read. Its stream ends with io.EOF only if the upstream has closed it in order, and
+// with ErrHead at an invalid head.
 type trackedConn struct {
 	net.Conn
 	clock           eelgrassbeam.Clock
@@ -32,12 +35,14 @@
 	writeFailure error
 	// writesEnded is closed when writesInProgress falls to zero after the end of the stream; nil if nothing waits.
 	writesEnded chan struct{}
+	head        headchecker.Scanner
 }
 
 // beginExchange resets the byte count and sets the progress timeout.
 func (c *trackedConn) beginExchange(timeout time.Duration) {
 	c.mu.Lock()
 	c.bytesWritten = 0
+	c.head.Expect()
 	c.mu.Unlock()
 	c.inExchange.Store(true)
 	c.progressTimeout.Store(int64(timeout))
@@ -128,9 +133,21 @@
 		}
 	}
 	c.recordIO(n, err)
+	if invalid := c.scanHead(p[:n]); invalid != nil {
+		return 0, invalid // without the bytes, with which the head might be complete
+	}
 	return n, err
 }
 
+func (c *trackedConn) scanHead(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.head.Scan(p); err != nil {
+		return fmt.Errorf("%w: %w", ErrHead, err)
+	}
+	return nil
+}
+
 // stopWrites rejects all further writes, ends the one in progress and returns the error of a write to a connection that
 // broke off, nil if none.
 func (c *trackedConn) stopWrites() error {
