headchecker: reject a transfer coding before HTTP/1.1

Callers got an answer of an upstream in trouble as a success whose body held the sizes of its chunks: it came in HTTP/1.0, with Transfer-Encoding.

Cause: net/http drops that field from an HTTP/1.0 response without using it, so that the answer seems to have no length and to end with its connection. The parsed answer doesn't show that the field was there.

Scanner, which sees the bytes of the head, rejects it: RFC 9112 (6.1) has a recipient treat the framing of such a message as faulty. HTTP/1.0 answers with a length, or ended by a close, stay accepted, and so does an HTTP/1.1 answer behind an HTTP/1.0 interim one (TestAnswerWithUnusualHead).

Evidence: TestAnswerWithTransferCodingBeforeHTTP11 failed before ("answered != unknown") and passes now.

--- a/headchecker/headchecker.go
+++ b/headchecker/headchecker.go
@@ -17,6 +17,8 @@
 	ErrStatus = errors.New("invalid status")
 	// ErrFieldName reports a field whose name is not a token.
 	ErrFieldName = errors.New("invalid field name")
+	// ErrTransferCoding reports a transfer coding in a version of HTTP that has none.
+	ErrTransferCoding = errors.New("transfer coding before HTTP/1.1")
 )
 
 // Check returns an error if the response has an invalid head, so that nothing that it says may be used.
--- a/headchecker/scanner.go
+++ b/headchecker/scanner.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
 
-// keptBytes is the number of bytes of a status line that Scanner keeps: the version and the status.
+// keptBytes is the number of bytes of a line that Scanner keeps: more than a version and a status, or transferCoding, have.
 const keptBytes = 32
 
+// transferCoding is the name of the field that only HTTP/1.1 has.
+const transferCoding = "Transfer-Encoding"
+
 // part is the part of a response that a byte belongs to.
 type part string
 
@@ -21,11 +25,15 @@
 	partBody       part = "body"
 )
 
-// Scanner checks the names of fields in the bytes of a connection. net/http takes a line that begins with a blank for the
-// continuation of the line before, so that such a name is part of another field's value once a head is parsed.
+// Scanner checks heads in the bytes of a connection for what parsing hides. net/http takes a line that begins with a blank for
+// the continuation of the line before, so that such a name is part of another field's value. It drops the transfer coding of
+// an HTTP/1.0 response, whose body then holds the sizes of chunks.
 type Scanner struct {
 	part part
+	// kept is the start of the status line or of the current field's name.
 	kept []byte
+	// isInterim is set if another head follows this one, and isOld if its version is below HTTP/1.1.
+	isInterim, isOld bool
 }
 
 // Expect makes the next byte the first one of a response.
@@ -46,11 +54,12 @@
 	isEnd := b == '\n'
 	switch s.part {
 	case partStatusLine:
-		if isEnd {
-			s.part = partLineStart
-		} else if len(s.kept) < keptBytes {
-			s.kept = append(s.kept, b)
+		if !isEnd {
+			s.keep(b)
+			return nil
 		}
+		s.part = partLineStart
+		s.readStatusLine()
 	case partLineStart, partName:
 		return s.nextOfName(b)
 	case partValue:
@@ -65,22 +74,35 @@
 	isStart := s.part == partLineStart
 	switch {
 	case isStart && b == '\r': // of the empty line behind the head
-	case isStart && b == '\n' && s.isInterim():
+	case isStart && b == '\n' && s.isInterim:
 		s.Expect()
 	case isStart && b == '\n':
 		s.part = partBody
+	case b == ':' && s.isOld && strings.EqualFold(string(s.kept), transferCoding):
+		return ErrTransferCoding
 	case b == ':':
-		s.part = partValue
+		s.part, s.kept = partValue, s.kept[:0]
 	case !httpguts.IsTokenRune(rune(b)):
 		return fmt.Errorf("%w: byte %q", ErrFieldName, b)
 	default:
 		s.part = partName
+		s.keep(b)
 	}
 	return nil
 }
 
-// isInterim reports whether another head follows the one with the status line that was kept.
-func (s *Scanner) isInterim() bool {
-	fields := strings.Fields(string(s.kept))
-	return len(fields) > 1 && len(fields[1]) == 3 && fields[1][0] == '1' && fields[1] != "101"
+func (s *Scanner) keep(b byte) {
+	if len(s.kept) < keptBytes {
+		s.kept = append(s.kept, b)
+	}
+}
+
+// readStatusLine takes version and status from what was kept. A parser rejects a line that has none.
+func (s *Scanner) readStatusLine() {
+	version, status, _ := strings.Cut(string(s.kept), " ")
+	s.kept = s.kept[:0]
+	major, minor, isValid := http.ParseHTTPVersion(version)
+	s.isOld = isValid && (major < 1 || major == 1 && minor < 1)
+	status = strings.TrimLeft(status, " ")
+	s.isInterim = strings.HasPrefix(status, "1") && !strings.HasPrefix(status, "101")
 }
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// Guards against the sizes of chunks in the body that a client gets.
+func TestAnswerWithTransferCodingBeforeHTTP11(t *testing.T) {
+	for _, line := range []string{"Transfer-Encoding: chunked", "transfer-encoding:CHUNKED", "Transfer-Encoding: gzip, chunked"} {
+		for _, head := range [][]string{{"HTTP/1.0 200 OK", idLine, line}, {"HTTP/1.0 200 OK", line, lengthLine, idLine}, {"HTTP/0.9 200 OK", idLine, line}} {
+			assertOutcome(t, exchangeWithHead(t, head...), eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonUpstreamFailed)
+		}
+	}
+}
+
 // Unusual heads that are valid stay accepted.
 func TestAnswerWithUnusualHead(t *testing.T) {
 	for name, head := range map[string][]string{
@@ -66,6 +75,7 @@
 		"obsolete text":         {statusLine, idLine, "X-Odd: \xe9", lengthLine},
 		"no reason":             {"HTTP/1.1 200 ", idLine, lengthLine},
 		"HTTP/1.0":              {"HTTP/1.0 200 OK", idLine, lengthLine},
+		"interim HTTP/1.0":      {"HTTP/1.0 103 Early Hints", "", statusLine, idLine, "Transfer-Encoding: chunked", "", "4\r\nbody\r\n0"},
 		"end by close":          {"HTTP/1.0 200 OK", idLine},
 		"interim answers":       {"HTTP/1.1 100 Continue", "", "HTTP/1.1 103 Early Hints", "Link: </a>", "", statusLine, idLine, lengthLine},
 		"long name":             {statusLine, idLine, strings.Repeat("x", 5000) + ": 1", lengthLine},
