upstream: reject successes without the upstream's receipt

Callers got a success that no upstream vouched for: a 200 with the request's ID and without X-Server-Stamp, from an upstream in trouble.

Cause: nothing looked at the receipt, which each 2xx of the platform's upstreams carries.

Dialect.Receipt names that header; a 2xx without it is no answer then, 502 at the caller, since the request may have run. Other statuses, probes and load reports, and the way to run with flags, which names no receipt, are as before. Stand-ins of upstreams now send the header, as the platform's upstreams do; their endless responses too, so that the tests of memory still reach the body.

--- a/directserver/directserver.go
+++ b/directserver/directserver.go
@@ -188,7 +188,8 @@
 		ResponseMargin: responseGrace,
 		Dialect: upstream.Dialect{
 			ExpectedID: platform.HeaderExpectInstance, NotRun: platform.HeaderNotExecuted, Load: platform.HeaderServerLoad,
-			Limit: platform.HeaderServerLimit, Leaving: platform.HeaderServerLeaving, Team: platform.HeaderTeam, AcceptUnframed: true,
+			Limit: platform.HeaderServerLimit, Leaving: platform.HeaderServerLeaving, Team: platform.HeaderTeam,
+			Receipt: platform.HeaderServerStamp, AcceptUnframed: true,
 		},
 	})
 	s.quotas = quotalimiter.New(quotalimiter.Config{
--- a/directserver/directserver_test.go
+++ b/directserver/directserver_test.go
@@ -96,6 +96,7 @@
 		}
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set(platform.HeaderServerLoad, "1,0,3")
+		w.Header().Set(platform.HeaderServerStamp, id)
 		body, _ := io.ReadAll(r.Body)
 		_, _ = fmt.Fprintf(w, "%s %s %s", id, r.URL.Path, body)
 	})
--- a/directserver/odd_answer_test.go
+++ b/directserver/odd_answer_test.go
@@ -92,6 +92,12 @@
 	requireBadGateway(t, answers)
 }
 
+// Guards against a success that no upstream vouches for.
+func TestSuccessesWithoutReceiptDoNotReachCallers(t *testing.T) {
+	const rest = "X-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok"
+	requireBadGateway(t, []string{"200 OK\r\n" + rest, "200 OK\r\nX-Server-Stamp:\r\n" + rest, "204 No Content\r\n" + rest, "299 OK\r\n" + rest})
+}
+
 // Guards against an answer with a field name that is none, of an upstream in trouble, that reaches the caller as an answer.
 func TestInvalidFieldNamesDoNotReachCallers(t *testing.T) {
 	var answers []string
--- a/directserver/team_test.go
+++ b/directserver/team_test.go
@@ -60,6 +60,7 @@
 		}
 		runs.Add(1)
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set(platform.HeaderServerStamp, "house")
 		_, _ = io.WriteString(w, "ok")
 	}))
 	for _, id := range []string{"u1", "u2"} {
--- a/standin/backend_faults.go
+++ b/standin/backend_faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/eelgrassbeam/eelgrassbeam"
+	"github.com/eelgrassbeam/eelgrassbeam/platform"
 )
 
 // BackendFaults are the faults that a test injects into a Backend. A number is decremented each time its fault applies.
@@ -57,6 +58,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	start, unit := "HTTP/1.1 200 OK\r\n"+HeaderRequestID+": "+r.Header.Get(HeaderRequestID)+"\r\n", "endless"
+	start += platform.HeaderServerStamp + ": " + string(b.config.ID) + "\r\n"
 	switch part {
 	case EndlessHeader:
 		unit = "X-Endless: endless\r\n"
--- a/standin/work.go
+++ b/standin/work.go
@@ -169,6 +169,7 @@
 		sent = swappedResponse(sent, previous)
 	}
 	w.Header().Set(HeaderRequestID, sent.id)
+	w.Header().Set(platform.HeaderServerStamp, string(b.config.ID))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(sent.body)))
 	if b.faults.consume(func(f *BackendFaults) *int { return &f.Truncate }) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -63,6 +63,8 @@
 	Leaving string
 	// Team names the request header with the ID of the request's team.
 	Team string
+	// Receipt names the response header by which an upstream confirms a 2xx response.
+	Receipt string
 	// AcceptUnframed accepts responses without a length, whose end is the close of the connection.
 	AcceptUnframed bool
 }
@@ -80,7 +82,8 @@
 	Reserve       func(ctx context.Context, bytes int64) error
 	ReservedBytes int64
 
-	acceptMissingID bool
+	// isQuery is set for probes and load reports, whose responses may lack the request's ID and the receipt.
+	isQuery bool
 }
 
 // guards enables the checks of each exchange. Tests disable them one by one to show what they prevent.
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -60,7 +60,7 @@
 func (c *Client) query(
 	ctx context.Context, target eelgrassbeam.Upstream, path string, limits Limits,
 ) (eelgrassbeam.Reply, error) {
-	limits.acceptMissingID = true
+	limits.isQuery = true
 	id := eelgrassbeam.RequestID("query-" + strconv.FormatUint(c.queryCount.Add(1), 10))
 	request := eelgrassbeam.Request{
 		ID: id, Service: target.Service, Idempotent: true, Attempt: 1,
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -26,6 +26,9 @@
 	if err := c.checkRequestID(response, request.ID, limits); err != nil {
 		return eelgrassbeam.Reply{}, err
 	}
+	if c.lacksReceipt(response) && !limits.isQuery {
+		return eelgrassbeam.Reply{}, fmt.Errorf("%w: status %d without %s", ErrReceipt, response.StatusCode, c.config.Dialect.Receipt)
+	}
 	body, err := c.readBody(ctx, conn, response, request.Method, limits)
 	if err != nil {
 		return eelgrassbeam.Reply{}, err
@@ -47,7 +50,7 @@
 	switch {
 	case !c.guards.requestID:
 		return nil
-	case len(got) == 0 && (c.config.AcceptMissingID || limits.acceptMissingID):
+	case len(got) == 0 && (c.config.AcceptMissingID || limits.isQuery):
 		return nil
 	case len(got) != 1 || got[0] != string(id):
 		return fmt.Errorf("%w: got %q", ErrRequestIDMismatch, got)
@@ -135,6 +138,12 @@
 	return c.config.Dialect.ExpectedID != "" && response.StatusCode == http.StatusMisdirectedRequest
 }
 
+// lacksReceipt reports whether a 2xx response isn't confirmed as its upstream's own.
+func (c *Client) lacksReceipt(response *http.Response) bool {
+	name := c.config.Dialect.Receipt
+	return name != "" && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(name) == ""
+}
+
 // isFromUpstream reports whether the response belongs to the request and comes from the upstream that it was meant for.
 func (c *Client) isFromUpstream(response *http.Response, id eelgrassbeam.RequestID, limits Limits) bool {
 	return c.checkRequestID(response, id, limits) == nil && !c.isMisdirected(response)
