upstream: count the heads of responses against an entry's memory

An entry could be made to run out of memory, and with it the requests of all its callers, by upstreams that sent heads without end: an entry of 184 MB peaked at 693 MB with 200 requests at upstreams that each sent 200 KB of short fields with names of their own and then one more every 10 ms.

Cause: a head was bounded by its bytes on the wire alone, 256 KB. Parsed, a field of seven bytes takes some 100. And heads weren't part of the buffer budget: requests reserve 64 KB for their response, which bodies use up before they reserve more, while a head of up to 256 KB came on top of it.

Scanner counts 200 bytes for each line besides its text, and a head may take 256 KB so counted; one that takes more is no answer, in both ways to run. What a head takes is reserved like a body, from the same 64 KB on; a head that needs more waits for room. Reserve may be called by a connection whose exchange was given up; the forwarder releases what comes after the end of its request at once.

Stay accepted: heads of up to 256 KB in few fields, or of 1,000 short ones (TestHeadTakesBufferSpace). Heads between 1,200 and some 37,000 short fields, which were accepted before, are rejected.

Bodies without end, in chunks, without a length or as a trickle, are handled before and keep their tests; so do heads with a long line and interim heads.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -131,27 +131,20 @@
 	sent     int
 	waited   time.Duration
 	lastSlot *picker.Slot
-	// releases return the buffer space of the request and its response.
-	releases []func()
+	// buffers is the buffer space of the request and its response.
+	buffers reservations
 }
 
 // priority returns the priority of the call, which has a route.
 func (c *call) priority() int { return c.team.PriorityOn(c.route) }
 
-// release returns the buffer space of the call.
-func (c *call) release() {
-	for _, release := range c.releases {
-		release()
-	}
-}
-
 // ServeHTTP forwards the request and answers the caller. It implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, rejection := f.read(w, r)
 	if notifier, ok := w.(writeNotifier); ok {
-		notifier.AfterWrite(c.release)
+		notifier.AfterWrite(c.buffers.release)
 	} else {
-		defer c.release()
+		defer c.buffers.release()
 	}
 	if rejection == nil {
 		rejection = f.reserveResponse(c)
@@ -185,7 +178,7 @@
 		rejection.retryAfter = noBufferRetryAfter
 		return rejection
 	}
-	c.releases = append(c.releases, release)
+	c.buffers.add(release)
 	return nil
 }
 
@@ -276,7 +269,7 @@
 		Reserve: func(ctx context.Context, bytes int64) error {
 			release, err := f.config.Buffers.ReserveResponse(ctx, c.request.Service, bytes)
 			if err == nil {
-				c.releases = append(c.releases, release)
+				c.buffers.add(release)
 			}
 			return err
 		},
--- a/headchecker/headchecker.go
+++ b/headchecker/headchecker.go
@@ -17,6 +17,8 @@
 	ErrStatus = errors.New("invalid status")
 	// ErrFieldName reports a field whose name is not a token.
 	ErrFieldName = errors.New("invalid field name")
+	// ErrTooLarge reports a head that takes too much memory.
+	ErrTooLarge = errors.New("head too large")
 	// ErrTransferCoding reports a transfer coding in a version of HTTP that has none.
 	ErrTransferCoding = errors.New("transfer coding before HTTP/1.1")
 )
--- a/standin/backend_faults.go
+++ b/standin/backend_faults.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -36,9 +37,11 @@
 // EndlessPart is the part of a response that never ends.
 type EndlessPart string
 
-// The parts. EndlessTrickle is a body that grows by one byte every trickleInterval.
+// The parts. EndlessFields is a header of short fields, each with a name of its own, that grows by one every trickleInterval
+// once it is large, and EndlessTrickle a body that grows by one byte.
 const (
 	EndlessHeader  EndlessPart = "header"
+	EndlessFields  EndlessPart = "fields"
 	EndlessChunks  EndlessPart = "chunks"
 	EndlessBody    EndlessPart = "body"
 	EndlessTrickle EndlessPart = "trickle"
@@ -48,6 +51,8 @@
 	trickleInterval = 10 * time.Millisecond
 	// endlessBlockBytes is about the number of bytes that an endless response sends at once.
 	endlessBlockBytes = 64 << 10
+	// endlessFieldsBytes is the size of the fields that EndlessFields sends at once.
+	endlessFieldsBytes = 200 << 10
 )
 
 // sendEndlessly sends the start of a response and then more of the part until the client closes the connection.
@@ -62,14 +67,20 @@
 	switch part {
 	case EndlessHeader:
 		unit = "X-Endless: endless\r\n"
+	case EndlessFields:
+		start += shortFields(endlessFieldsBytes)
+		unit = "X:\r\n"
 	case EndlessChunks:
 		start, unit = start+"Transfer-Encoding: chunked\r\n\r\n", "7\r\nendless\r\n"
 	default:
 		start += "\r\n"
 	}
 	block, pause := strings.Repeat(unit, 1+endlessBlockBytes/len(unit)), time.Duration(0)
-	if part == EndlessTrickle {
+	switch part {
+	case EndlessTrickle:
 		block, pause = "e", trickleInterval
+	case EndlessFields:
+		block, pause = unit, trickleInterval
 	}
 	_, err = io.WriteString(conn, start)
 	for err == nil {
@@ -80,6 +91,15 @@
 	}
 }
 
+// shortFields returns empty fields of different names, of about the size in all.
+func shortFields(size int) string {
+	var fields strings.Builder
+	for i := 0; fields.Len() < size; i++ {
+		fields.WriteString("f" + strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	return fields.String()
+}
+
 // faultSet holds the active faults.
 type faultSet struct {
 	mu     sync.Mutex
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -31,7 +31,7 @@
 // TestEndlessResponses guards against an entry that runs out of memory, or that stops serving other services, while the
 // backends of one service send bytes without end in many responses at once.
 func TestEndlessResponses(t *testing.T) {
-	for _, part := range []string{"header", "chunks", "body", "trickle"} {
+	for _, part := range []string{"header", "fields", "chunks", "body", "trickle"} {
 		t.Run(part, func(t *testing.T) { testEndless(t, part) })
 	}
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -77,8 +77,8 @@
 	ProgressTimeout time.Duration
 	// Connections is the maximum number of open connections to the upstream, including idle ones.
 	Connections int
-	// Reserve reserves buffer space, in bytes, for the part of the response body above ReservedBytes. It may wait until
-	// the context is done. If it is nil, no space is reserved.
+	// Reserve reserves buffer space, in bytes, for the part of the response, head and body, above ReservedBytes. It may wait
+	// until the context is done, which may be after the exchange has returned. If it is nil, no space is reserved.
 	Reserve       func(ctx context.Context, bytes int64) error
 	ReservedBytes int64
 
@@ -220,7 +220,8 @@
 		return eelgrassbeam.NotRun(request.ID, reasonFor(ctx, err)), false, err
 	}
 	conn.carry(request.ID)
-	conn.tracked.beginExchange(limits.ProgressTimeout)
+	space := newReservation(limits)
+	conn.tracked.beginExchange(limits.ProgressTimeout, func(bytes int64) error { return space.add(ctx, bytes) })
 	response, err := conn.http.RoundTrip(outgoing)
 	if err != nil {
 		sent := conn.tracked.closeWrites() && c.guards.atMostOnce
@@ -232,7 +233,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	conn.idleTimeout = keepAliveTimeout(response.Header.Get("Keep-Alive"), c.config.IdleTimeout)
-	reply, err = c.receive(ctx, conn, response, request, limits)
+	reply, err = c.receive(ctx, conn, response, request, space)
 	if c.isFromUpstream(response, request.ID, limits) {
 		reply.Load, reply.Notice = c.parseLoad(response.Header), c.parseNotice(response)
 	}
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -1,10 +1,14 @@
 package upstream
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -14,12 +18,17 @@
 
 // exchangeWithHead returns the reply to a request that is answered with the lines as its head and the body "body".
 func exchangeWithHead(t *testing.T, lines ...string) eelgrassbeam.Reply {
+	t.Helper()
+	return exchangeWithin(t, testLimits, lines...)
+}
+
+func exchangeWithin(t *testing.T, limits Limits, lines ...string) eelgrassbeam.Reply {
 	t.Helper()
 	target, _ := serveRaw(t, func(conn net.Conn, _ *http.Request) {
 		_, _ = io.WriteString(conn, strings.Join(lines, "\r\n")+"\r\n\r\nbody")
 		_ = conn.Close()
 	})
-	reply, _ := newUnframedClient(t).Exchange(testContext(t), target, newPost("r1", ""), testLimits)
+	reply, _ := newUnframedClient(t).Exchange(testContext(t), target, newPost("r1", ""), limits)
 	return reply
 }
 
@@ -88,3 +97,36 @@
 		})
 	}
 }
+
+// Guards against heads that take memory which nothing accounts for: many large ones at once, or with many short fields.
+func TestHeadTakesBufferSpace(t *testing.T) {
+	large := "X-Large: " + strings.Repeat("a", 100<<10)
+	t.Run("a large head reserves what isn't reserved yet", func(t *testing.T) {
+		is := is.New(t)
+		var reserved atomic.Int64
+		limits := testLimits
+		limits.ReservedBytes = 64 << 10
+		limits.Reserve = func(_ context.Context, bytes int64) error {
+			reserved.Add(bytes)
+			return nil
+		}
+		reply := exchangeWithin(t, limits, statusLine, idLine, lengthLine, large)
+		assertOutcome(t, reply, eelgrassbeam.OutcomeAnswered, "")
+		is.True(reserved.Load() >= 36<<10)
+		is.True(reserved.Load() < 64<<10)
+	})
+	t.Run("no space", func(t *testing.T) {
+		limits := testLimits
+		limits.Reserve = func(context.Context, int64) error { return errors.New("no space") }
+		reply := exchangeWithin(t, limits, statusLine, idLine, lengthLine, large)
+		assertOutcome(t, reply, eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonUpstreamFailed)
+	})
+	t.Run("short fields", func(t *testing.T) {
+		fields := []string{statusLine, idLine, lengthLine}
+		for i := range 2000 {
+			fields = append(fields, fmt.Sprintf("X-%d:", i))
+		}
+		assertOutcome(t, exchangeWithHead(t, fields...), eelgrassbeam.OutcomeUnknown, eelgrassbeam.ReasonUpstreamFailed)
+		assertOutcome(t, exchangeWithHead(t, fields[:1000]...), eelgrassbeam.OutcomeAnswered, "")
+	})
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -18,18 +18,18 @@
 
 // receive reads the complete response and checks that it belongs to the request.
 func (c *Client) receive(
-	ctx context.Context, conn *connection, response *http.Response, request eelgrassbeam.Request, limits Limits,
+	ctx context.Context, conn *connection, response *http.Response, request eelgrassbeam.Request, space *reservation,
 ) (eelgrassbeam.Reply, error) {
 	if err := headchecker.Check(response); err != nil {
 		return eelgrassbeam.Reply{}, fmt.Errorf("%w: %w", ErrHead, err)
 	}
-	if err := c.checkRequestID(response, request.ID, limits); err != nil {
+	if err := c.checkRequestID(response, request.ID, space.limits); err != nil {
 		return eelgrassbeam.Reply{}, err
 	}
-	if c.lacksReceipt(response) && !limits.isQuery {
+	if c.lacksReceipt(response) && !space.limits.isQuery {
 		return eelgrassbeam.Reply{}, fmt.Errorf("%w: status %d without %s", ErrReceipt, response.StatusCode, c.config.Dialect.Receipt)
 	}
-	body, err := c.readBody(ctx, conn, response, request.Method, limits)
+	body, err := c.readBody(ctx, conn, response, request.Method, space)
 	if err != nil {
 		return eelgrassbeam.Reply{}, err
 	}
@@ -60,8 +60,8 @@
 }
 
 // readBody returns the complete body, or an error if its end can't be verified.
-func (c *Client) readBody(ctx context.Context, conn *connection, response *http.Response, method string, limits Limits) ([]byte, error) {
-	limit := limits.BodyBytes
+func (c *Client) readBody(ctx context.Context, conn *connection, response *http.Response, method string, space *reservation) ([]byte, error) {
+	limit := space.limits.BodyBytes
 	if isBodiless(response.StatusCode, method) {
 		return nil, nil
 	}
@@ -71,7 +71,7 @@
 	if c.guards.complete && !c.config.Dialect.AcceptUnframed && response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") {
 		return nil, fmt.Errorf("%w: its end can't be verified without Content-Length or chunked encoding", ErrTruncated)
 	}
-	body, err := readLimited(ctx, response.Body, response.ContentLength, limits)
+	body, err := readLimited(ctx, response.Body, response.ContentLength, space)
 	switch {
 	case errors.Is(err, ErrTooLarge), errors.Is(err, ErrNoBuffer):
 		return nil, err
@@ -86,16 +86,14 @@
 
 // readLimited reads a body of the declared length, or of any length if that is negative. It reserves buffer space before
 // it allocates it. It returns ErrTooLarge above the limit, ErrNoBuffer without space, and the error of a failed read.
-func readLimited(ctx context.Context, body io.Reader, declared int64, limits Limits) ([]byte, error) {
+func readLimited(ctx context.Context, body io.Reader, declared int64, space *reservation) ([]byte, error) {
 	var buffer []byte
-	reserved := limits.ReservedBytes
+	limit, reserved := space.limits.BodyBytes, int64(0)
 	grow := func(capacity int64) error {
-		if capacity > reserved && limits.Reserve != nil {
-			if err := limits.Reserve(ctx, capacity-reserved); err != nil {
-				return fmt.Errorf("%w: %w", ErrNoBuffer, err)
-			}
-			reserved = capacity
+		if err := space.add(ctx, capacity-reserved); err != nil {
+			return err
 		}
+		reserved = capacity
 		buffer = slices.Grow(buffer, int(capacity)-len(buffer))
 		return nil
 	}
@@ -106,14 +104,14 @@
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		switch {
-		case int64(len(buffer)) > limits.BodyBytes:
-			return nil, fmt.Errorf("%w: limit %d", ErrTooLarge, limits.BodyBytes)
+		case int64(len(buffer)) > limit:
+			return nil, fmt.Errorf("%w: limit %d", ErrTooLarge, limit)
 		case errors.Is(err, io.EOF):
 			return buffer, nil
 		case err != nil:
 			return buffer, err
 		case len(buffer) == cap(buffer):
-			if err := grow(min(2*int64(cap(buffer)), limits.BodyBytes+bytes.MinRead)); err != nil {
+			if err := grow(min(2*int64(cap(buffer)), limit+bytes.MinRead)); err != nil {
 				return nil, err
 			}
 		}
--- a/upstream/tracked_conn.go
+++ b/upstream/tracked_conn.go
@@ -36,13 +36,17 @@
 	// writesEnded is closed when writesInProgress falls to zero after the end of the stream; nil if nothing waits.
 	writesEnded chan struct{}
 	head        headchecker.Scanner
+	// reserveHead reserves buffer space for bytes of the head.
+	reserveHead func(bytes int64) error
 }
 
-// beginExchange resets the byte count and sets the progress timeout.
-func (c *trackedConn) beginExchange(timeout time.Duration) {
+// beginExchange resets the byte count and sets the progress timeout and the function that reserves buffer space for the head
+// of the response.
+func (c *trackedConn) beginExchange(timeout time.Duration, reserveHead func(bytes int64) error) {
 	c.mu.Lock()
 	c.bytesWritten = 0
 	c.head.Expect()
+	c.reserveHead = reserveHead
 	c.mu.Unlock()
 	c.inExchange.Store(true)
 	c.progressTimeout.Store(int64(timeout))
@@ -141,11 +145,17 @@
 
 func (c *trackedConn) scanHead(p []byte) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := c.head.Scan(p); err != nil {
+	before := c.head.Cost()
+	err := c.head.Scan(p)
+	cost, reserve := c.head.Cost()-before, c.reserveHead
+	c.mu.Unlock()
+	if err != nil {
 		return fmt.Errorf("%w: %w", ErrHead, err)
 	}
-	return nil
+	if cost == 0 {
+		return nil
+	}
+	return reserve(cost)
 }
 
 // stopWrites rejects all further writes, ends the one in progress and returns the error of a write to a connection that
