picker: reject what can't be answered before the entry stops

In a planned stop callers lost requests without an answer: those that still waited for an upstream at the end of the grace, which the entry knew not to have run, and, where the grace is short, those that came late in it, were passed on and cut 1.4 s after the signal, non-idempotent ones among them.

Cause: nothing that decides on a request knew when the entry stops. Waiting requests waited for as long as their route allows, and a request was passed on however little time was left. With the usual grace of 6 s the entry takes requests for 1.5 to 2.3 s, so that 3 s or more are left for them; there the second part shows for long work only.

Picker.Stop tells the picker the end. From then on a request is started only if two mean service times of its route are left until the end, or its own deadline comes first; others are rejected with 503, reason "stopping", and a Retry-After of 50 ms, since other entries take them at once. Waiting requests get that answer as soon as too little time is left.

--- a/directserver/directserver_test.go
+++ b/directserver/directserver_test.go
@@ -1,6 +1,7 @@
 package directserver
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -45,6 +46,8 @@
 	requests, registrations int
 	// revokeLimit makes entries strict about credentials that may have been taken away, unless it is zero.
 	revokeLimit time.Duration
+	// stopGrace is the time that entries have to stop, 6 s if zero.
+	stopGrace time.Duration
 }
 
 type testEntry struct {
@@ -166,7 +169,7 @@
 	settings := platform.Settings{
 		ID: eelgrassbeam.EntryID(name), Zone: "z1", Region: "r1", Regions: map[eelgrassbeam.ZoneID]eelgrassbeam.RegionID{"z1": "r1", "z2": "r1"},
 		CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t), PeerAddress: freeAddress(t), DirectoryAddress: freeAddress(t),
-		MetricsAddress: freeAddress(t), StoreAddress: s.store, Seeds: s.seeds, LookupTTL: 5 * time.Second, StopGrace: 6 * time.Second,
+		MetricsAddress: freeAddress(t), StoreAddress: s.store, Seeds: s.seeds, LookupTTL: 5 * time.Second, StopGrace: cmp.Or(s.stopGrace, 6*time.Second),
 		RevokeLimit: s.revokeLimit, IsRevokeStrict: s.revokeLimit > 0,
 	}
 	s.seeds = append(s.seeds, settings.PeerAddress)
--- a/directserver/run.go
+++ b/directserver/run.go
@@ -131,6 +131,9 @@
 	drainCtx, cancel := context.WithDeadline(ctx, started.Add(s.config.Settings.StopGrace-exitReserve))
 	defer cancel()
 	s.stopping.Store(true)
+	if end, ok := drainCtx.Deadline(); ok {
+		s.picker.Stop(end)
+	}
 	s.callerServer.Drain()
 	s.gossiper.Leave(drainCtx)
 	select {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -31,6 +31,8 @@
 	// noBufferRetryAfter is the Retry-After of an entry whose buffers are full. Those are free after the longest usual
 	// timeout of a route at the latest.
 	noBufferRetryAfter = time.Second
+	// stoppingRetryAfter is the Retry-After of an entry that stops. Others take the request at once.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// retryShare is the share of first attempts that may be retried. It is half of the retry ratio
 	// (budget_ratio in the terms of the settings) that applies to all entries together, because each entry and each
 	// time window rounds up.
@@ -222,7 +224,7 @@
 func (f *Forwarder) job(c *call) picker.Job {
 	return picker.Job{
 		Request: c.request.ID, Route: c.route, Service: c.request.Service, Team: c.team, Key: c.key,
-		StartBy: f.startBy(c), Tried: c.tried,
+		StartBy: f.startBy(c), Deadline: c.deadline, Tried: c.tried,
 	}
 }
 
@@ -300,6 +302,8 @@
 		reason = eelgrassbeam.ReasonNoCapacity
 	case errors.Is(err, picker.ErrOverloaded):
 		reason = eelgrassbeam.ReasonQueueFull
+	case errors.Is(err, picker.ErrStopping):
+		return outcome{reply: eelgrassbeam.NotRun(c.request.ID, eelgrassbeam.ReasonStopping), retryAfter: stoppingRetryAfter}
 	}
 	return outcome{
 		reply:      eelgrassbeam.NotRun(c.request.ID, reason),
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -44,6 +44,8 @@
 	Key string
 	// StartBy is the latest time at which the request may be sent to an upstream.
 	StartBy time.Time
+	// Deadline is when the request ends in any case.
+	Deadline time.Time
 	// Tried holds the upstreams of earlier attempts, which are not selected again.
 	Tried []eelgrassbeam.UpstreamID
 }
@@ -72,6 +74,9 @@
 	entries        []eelgrassbeam.EntryID
 	entriesAt      time.Time
 	entriesVersion uint64
+	// stopBy is when this entry stops, zero before that is known, and stopping is closed then.
+	stopBy   time.Time
+	stopping chan struct{}
 }
 
 // service holds the upstreams of one service and its queue of waiting requests.
@@ -110,6 +115,7 @@
 	return &Picker{
 		config: config, upstreams: make(map[eelgrassbeam.UpstreamID]*state),
 		services: make(map[eelgrassbeam.ServiceName]*service), serviceTimes: make(map[string]time.Duration),
+		stopping: make(chan struct{}),
 	}
 }
 
@@ -136,32 +142,46 @@
 	}
 }
 
-// Acquire waits for a slot at an upstream. It fails with ErrNoUpstream, ErrOverloaded or the context's cause;
+// Acquire waits for a slot at an upstream. It fails with ErrNoUpstream, ErrOverloaded, ErrStopping or the context's cause;
 // the request has then not been sent.
 func (p *Picker) Acquire(ctx context.Context, job Job) (*Slot, error) {
 	p.mu.Lock()
 	p.applyView()
 	now := p.config.Clock.Now()
 	s := p.service(job.Service)
+	startBy, late := p.startBy(job)
+	if now.After(startBy) && errors.Is(late, ErrStopping) {
+		p.mu.Unlock()
+		return nil, late
+	}
 	slot, err := p.tryAcquire(s, job, now)
 	if slot != nil || err != nil {
 		p.mu.Unlock()
 		return slot, err
 	}
-	if wait := p.estimatedWait(s, job); now.Add(wait).After(job.StartBy) {
+	if wait := p.estimatedWait(s, job); now.Add(wait).After(startBy) {
 		p.mu.Unlock()
-		return nil, ErrOverloaded
+		return nil, late
 	}
 	w := &waiter{job: job, queuedAt: now, slot: make(chan *Slot, 1)}
 	s.enqueue(w)
 	p.mu.Unlock()
-	select {
-	case slot := <-w.slot:
-		return slot, nil
-	case <-p.config.Clock.After(job.StartBy.Sub(now)):
-		return p.cancelWait(s, w, ErrOverloaded)
-	case <-ctx.Done():
-		return p.cancelWait(s, w, context.Cause(ctx))
+	return p.await(ctx, s, w)
+}
+
+// await waits until the waiter is assigned a slot.
+func (p *Picker) await(ctx context.Context, s *service, w *waiter) (*Slot, error) {
+	for {
+		limit, changed, late := p.waitLimit(w.job)
+		select {
+		case slot := <-w.slot:
+			return slot, nil
+		case <-p.config.Clock.After(limit):
+			return p.cancelWait(s, w, late)
+		case <-changed:
+		case <-ctx.Done():
+			return p.cancelWait(s, w, context.Cause(ctx))
+		}
 	}
 }
 
