headchecker: reject what a parser's errors would quote

Cause: net/textproto and net/http quote an invalid line in the text of their error, up to four bytes for one, each layer copies the text into its own, and so did the log. None of it was counted or bounded.

Scanner now finds these faults byte by byte: a first line without a version or a status, an empty name, a control byte in a value, and more than 256 bytes in the values of the fields that delimit the body. The error about a wrong request ID quotes 128 bytes, and the log 512 bytes of an error.

--- a/headchecker/headchecker.go
+++ b/headchecker/headchecker.go
@@ -15,8 +15,12 @@
 var (
 	// ErrStatus reports a status that is not a final one of HTTP.
 	ErrStatus = errors.New("invalid status")
+	// ErrStatusLine reports a first line without a version or a status.
+	ErrStatusLine = errors.New("invalid status line")
 	// ErrFieldName reports a field whose name is not a token.
 	ErrFieldName = errors.New("invalid field name")
+	// ErrFieldValue reports a field with a control byte in its value, or one that delimits the body whose value is too long.
+	ErrFieldValue = errors.New("invalid field value")
 	// ErrTooLarge reports a head that takes too much memory.
 	ErrTooLarge = errors.New("head too large")
 	// ErrTransferCoding reports a transfer coding in a version of HTTP that has none.
--- a/headchecker/scanner.go
+++ b/headchecker/scanner.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -18,8 +19,14 @@
 	maxCost = 256 << 10
 )
 
-// transferCoding is the name of the field that only HTTP/1.1 has.
-const transferCoding = "Transfer-Encoding"
+// The names of the fields that delimit a body. Only HTTP/1.1 has transfer codings.
+const (
+	transferCoding = "Transfer-Encoding"
+	contentLength  = "Content-Length"
+)
+
+// maxFramingBytes bounds the values of the fields that delimit a body, in bytes of all together: a parser's error quotes them.
+const maxFramingBytes = 256
 
 // part is the part of a response that a byte belongs to.
 type part string
@@ -33,13 +40,23 @@
 	partBody part = ""
 )
 
-// Scanner checks heads in the bytes of a connection for what parsing hides. net/http takes a line that begins with a blank for
-// the continuation of the line before, so that such a name is part of another field's value. It drops the transfer coding of
-// an HTTP/1.0 response, whose body then holds the sizes of chunks. The zero value expects no head.
+// Scanner checks heads in the bytes of a connection for what parsing hides:
+//   - net/http takes a line that begins with a blank for the continuation of the line before, so that such a name is part of
+//     another field's value.
+//   - It drops the transfer coding of an HTTP/1.0 response, whose body then holds the sizes of chunks.
+//   - Its errors quote invalid lines at any length.
+//
+// The zero value expects no head.
 type Scanner struct {
 	part part
 	// kept is the start of the status line or of the current field's name.
 	kept []byte
+	// isFraming is set if the current field delimits the body, and framingLeft is the number of bytes left for the values of
+	// such fields.
+	isFraming   bool
+	framingLeft int
+	// isAfterReturn is set behind a carriage return, which only the end of the line may follow.
+	isAfterReturn bool
 	// cost is the memory, in bytes, that the parsed heads take.
 	cost int64
 	// isInterim is set if another head follows this one, and isOld if its version is below HTTP/1.1.
@@ -55,10 +72,11 @@
 // Cost returns the memory, in bytes, that the head takes as far as it is scanned, with the interim ones before it.
 func (s *Scanner) Cost() int64 { return s.cost }
 
-func (s *Scanner) expectHead() { s.part, s.kept = partStatusLine, s.kept[:0] }
+func (s *Scanner) expectHead() {
+	s.part, s.kept, s.framingLeft = partStatusLine, s.kept[:0], maxFramingBytes
+}
 
-// Scan checks bytes that follow those before, up to the end of the head. Interim responses are checked, too. It leaves to the
-// parser what that rejects.
+// Scan checks bytes that follow those before, up to the end of the head. Interim responses are checked, too.
 func (s *Scanner) Scan(p []byte) error {
 	for i := 0; i < len(p) && s.part != partBody; i++ {
 		if err := s.next(p[i]); err != nil {
@@ -84,29 +102,28 @@
 			return nil
 		}
 		s.part = partLineStart
-		s.readStatusLine()
+		return s.readStatusLine()
 	case partLineStart, partName:
 		return s.nextOfName(b)
 	case partValue:
-		if isEnd {
-			s.part = partLineStart
-		}
+		return s.nextOfValue(b)
 	}
 	return nil
 }
 
 func (s *Scanner) nextOfName(b byte) error {
-	isStart := s.part == partLineStart
+	isStart, isAfterReturn := s.part == partLineStart, s.isAfterReturn
+	s.isAfterReturn = isStart && b == '\r'
 	switch {
-	case isStart && b == '\r': // of the empty line behind the head
+	case isAfterReturn && b != '\n', isStart && b == ':':
+		return fmt.Errorf("%w: empty", ErrFieldName)
+	case s.isAfterReturn: // of the empty line behind the head
 	case isStart && b == '\n' && s.isInterim:
 		s.expectHead()
 	case isStart && b == '\n':
 		s.part = partBody
-	case b == ':' && s.isOld && strings.EqualFold(string(s.kept), transferCoding):
-		return ErrTransferCoding
 	case b == ':':
-		s.part, s.kept = partValue, s.kept[:0]
+		return s.beginValue()
 	case !httpguts.IsTokenRune(rune(b)):
 		return fmt.Errorf("%w: byte %q", ErrFieldName, b)
 	default:
@@ -116,18 +133,51 @@
 	return nil
 }
 
+// beginValue begins the value of the field whose name was kept.
+func (s *Scanner) beginValue() error {
+	name := string(s.kept)
+	s.part, s.kept = partValue, s.kept[:0]
+	isTransferCoding := strings.EqualFold(name, transferCoding)
+	s.isFraming = isTransferCoding || strings.EqualFold(name, contentLength)
+	if isTransferCoding && s.isOld {
+		return ErrTransferCoding
+	}
+	return nil
+}
+
+func (s *Scanner) nextOfValue(b byte) error {
+	isAfterReturn := s.isAfterReturn
+	s.isAfterReturn = b == '\r'
+	if s.isFraming {
+		s.framingLeft--
+	}
+	switch {
+	case b == '\n':
+		s.part = partLineStart
+	case isAfterReturn, s.framingLeft < 0, isControl(b) && b != '\t' && b != '\r':
+		return ErrFieldValue
+	}
+	return nil
+}
+
+func isControl(b byte) bool { return b < ' ' || b == 0x7f }
+
 func (s *Scanner) keep(b byte) {
 	if len(s.kept) < keptBytes {
 		s.kept = append(s.kept, b)
 	}
 }
 
-// readStatusLine takes version and status from what was kept. A parser rejects a line that has none.
-func (s *Scanner) readStatusLine() {
-	version, status, _ := strings.Cut(string(s.kept), " ")
+// readStatusLine takes version and status from what was kept.
+func (s *Scanner) readStatusLine() error {
+	version, rest, _ := strings.Cut(string(s.kept), " ")
 	s.kept = s.kept[:0]
+	status, _, _ := strings.Cut(strings.TrimRight(strings.TrimLeft(rest, " "), "\r"), " ")
 	major, minor, isValid := http.ParseHTTPVersion(version)
-	s.isOld = isValid && (major < 1 || major == 1 && minor < 1)
-	status = strings.TrimLeft(status, " ")
-	s.isInterim = strings.HasPrefix(status, "1") && !strings.HasPrefix(status, "101")
+	if number, err := strconv.Atoi(status); !isValid || len(status) != 3 || err != nil || number < 0 {
+		return ErrStatusLine
+	}
+	s.isOld = major < 1 || major == 1 && minor < 1
+	s.isInterim = status[0] == '1' && status != "101"
+	return nil
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -21,6 +21,8 @@
 	keepAliveInterval  = 2 * time.Second
 	keepAliveCount     = 3
 	maxHeaderBytes     = 256 << 10
+	// maxErrorBytes bounds the error in a log line.
+	maxErrorBytes = 512
 )
 
 // Config configures a Client.
@@ -265,8 +267,9 @@
 	if err == nil || c.config.Log == nil {
 		return
 	}
+	text := err.Error()
 	c.config.Log.WithFields(logrus.Fields{
 		"event": "exchange_failed", "request": reply.RequestID, "upstream": target.ID,
-		"outcome": reply.Outcome, "reason": reply.Reason, "error": err.Error(),
+		"outcome": reply.Outcome, "reason": reply.Reason, "error": text[:min(len(text), maxErrorBytes)],
 	}).Warn("")
 }
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -32,6 +33,9 @@
 	return reply
 }
 
+// maxErrorText is the length, in bytes, that the text of an error may have.
+const maxErrorText = 2 << 10
+
 const (
 	statusLine = "HTTP/1.1 200 OK"
 	idLine     = "X-Request-Id: r1"
@@ -72,6 +76,35 @@
 	}
 }
 
+// Guards against errors that quote a response at any length. They took several times the memory of its head.
+func TestErrorsOfResponsesAreShort(t *testing.T) {
+	long := strings.Repeat("\x01", 200<<10)
+	for name, head := range map[string][]string{
+		"status line":       {"HTTP/1.1 " + long},
+		"no answer":         {long},
+		"field without end": {statusLine, strings.Repeat("a", 200<<10)},
+		"empty name":        {statusLine, idLine, ":" + strings.Repeat("\xff", 200<<10)},
+		"return in a name":  {statusLine, idLine, "\rX: " + strings.Repeat("\xff", 200<<10)},
+		"value":             {statusLine, idLine, "X-Odd: " + long},
+		"transfer coding":   {statusLine, idLine, "Transfer-Encoding: " + strings.Repeat("a", 200<<10)},
+		"length":            {statusLine, idLine, "Content-Length: " + strings.Repeat("\xff", 200<<10)},
+		"lengths":           append([]string{statusLine, idLine}, slices.Repeat([]string{"Content-Length: " + strings.Repeat("\xff", 99)}, 500)...),
+		"request ID":        {statusLine, "X-Request-Id: " + strings.Repeat("\xff", 200<<10), lengthLine},
+		"request IDs":       append([]string{statusLine}, slices.Repeat([]string{"X-Request-Id: " + strings.Repeat("\xff", 99)}, 500)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, _ := serveRaw(t, func(conn net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(conn, strings.Join(head, "\r\n")+"\r\n\r\nbody")
+				_ = conn.Close()
+			})
+			_, err := newUnframedClient(t).Exchange(testContext(t), target, newPost("r1", ""), testLimits)
+			is := is.New(t)
+			is.True(err != nil)
+			is.True(len(err.Error()) < maxErrorText)
+		})
+	}
+}
+
 // Unusual heads that are valid stay accepted.
 func TestAnswerWithUnusualHead(t *testing.T) {
 	for name, head := range map[string][]string{
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -13,6 +13,9 @@
 	"github.com/eelgrassbeam/eelgrassbeam/headchecker"
 )
 
+// maxQuotedBytes bounds what an error quotes of a response.
+const maxQuotedBytes = 128
+
 // IsLeaving reports whether the reply says that the upstream accepts no new requests.
 func IsLeaving(reply eelgrassbeam.Reply) bool { return isTrue(reply.Header, HeaderLeaving) }
 
@@ -53,7 +56,7 @@
 	case len(got) == 0 && (c.config.AcceptMissingID || limits.isQuery):
 		return nil
 	case len(got) != 1 || got[0] != string(id):
-		return fmt.Errorf("%w: got %q", ErrRequestIDMismatch, got)
+		return fmt.Errorf("%w: got %d of them, %.*q", ErrRequestIDMismatch, len(got), maxQuotedBytes, got[:min(len(got), 1)])
 	default:
 		return nil
 	}
