--- a/directserver/stop_test.go
+++ b/directserver/stop_test.go
@@ -18,7 +18,7 @@
 )
 
 // arrivalInterval is the time between the requests of a test that sends them at any moment of a stop.
-const arrivalInterval = 80 * time.Millisecond
+const arrivalInterval = 100 * time.Millisecond
 
 // newStoppingCluster returns a running entry with the time to stop, whose two upstreams of three slots take the given time for
 // a request, and a function that reports whether a request has reached one.
@@ -64,7 +64,7 @@
 // comes on a connection of its own, half of which were open before.
 func TestStopAnswersWhatItPassesOn(t *testing.T) {
 	const grace = 2 * time.Second
-	e, hasRun := newStoppingCluster(t, grace, 400*time.Millisecond, 5*time.Second)
+	e, hasRun := newStoppingCluster(t, grace, 500*time.Millisecond, 5*time.Second)
 	statuses := make([]int, grace/arrivalInterval)
 	dial := func() net.Conn {
 		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", e.settings.CallerAddress.String())
