picker: reject a late attempt after another, too

A request whose first attempt had failed could still be passed on when too little time was left before the entry stops: the limit of the stop counted only if it came before the time by which the request wanted to start, and that has often passed when another attempt begins.

The limit of the stop now counts by itself. TestStop failed for the attempt whose StartBy has passed, and passes; the other two cases passed before.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -149,17 +149,16 @@
 	p.applyView()
 	now := p.config.Clock.Now()
 	s := p.service(job.Service)
-	startBy, late := p.latestStart(job)
-	if now.After(startBy) && errors.Is(late, ErrStopping) {
+	if limit, ok := p.stopLimit(job); ok && now.After(limit) {
 		p.mu.Unlock()
-		return nil, late
+		return nil, ErrStopping
 	}
 	slot, err := p.tryAcquire(s, job, now)
 	if slot != nil || err != nil {
 		p.mu.Unlock()
 		return slot, err
 	}
-	if wait := p.estimatedWait(s, job); now.Add(wait).After(startBy) {
+	if startBy, late := p.latestStart(job); now.Add(p.estimatedWait(s, job)).After(startBy) {
 		p.mu.Unlock()
 		return nil, late
 	}
--- a/picker/stop.go
+++ b/picker/stop.go
@@ -22,17 +22,22 @@
 	}
 }
 
-// latestStart returns the latest time at which the request may be sent to an upstream, and the error of one that comes too late.
-// The caller must hold p.mu.
-func (p *Picker) latestStart(job Job) (time.Time, error) {
+// stopLimit returns the latest time at which the request may be started before this entry stops, false if there is none. The
+// caller must hold p.mu.
+func (p *Picker) stopLimit(job Job) (time.Time, bool) {
 	if p.stopBy.IsZero() || !job.Deadline.After(p.stopBy) {
-		return job.StartBy, ErrOverloaded
+		return time.Time{}, false
 	}
-	byStop := p.stopBy.Add(-stopMargin * max(p.serviceTimes[job.Route.Name], minServiceTime))
-	if job.StartBy.Before(byStop) {
-		return job.StartBy, ErrOverloaded
+	return p.stopBy.Add(-stopMargin * max(p.serviceTimes[job.Route.Name], minServiceTime)), true
+}
+
+// latestStart returns the latest time until which the request may wait for an upstream, and the error of one that gets none.
+// The caller must hold p.mu.
+func (p *Picker) latestStart(job Job) (time.Time, error) {
+	if limit, ok := p.stopLimit(job); ok && limit.Before(job.StartBy) {
+		return limit, ErrStopping
 	}
-	return byStop, ErrStopping
+	return job.StartBy, ErrOverloaded
 }
 
 // waitLimit returns how long the request may wait for a slot, a channel that is closed when that changes, and the error if
