--- a/caller/handler.go
+++ b/caller/handler.go
@@ -43,8 +43,8 @@
 	Registerer    prometheus.Registerer
 	Configuration eelgrassbeam.ConfigurationSource
 	Sender        Sender
-	// TimeLimit returns how long a request that comes now may take, zero if this entry takes none any more since it stops.
-	// If it is nil, requests take as long as their deadline allows.
+	// TimeLimit returns the maximum time to the deadline of a new request, zero if this entry is stopping and accepts none any
+	// more. If it is nil, deadlines are not limited.
 	TimeLimit func() time.Duration
 }
 
@@ -115,7 +115,7 @@
 	return request, h.limitTime(&request)
 }
 
-// limitTime shortens the request's deadline to what TimeLimit allows.
+// limitTime limits the request's deadline by TimeLimit, or rejects the request.
 func (h *Handler) limitTime(request *eelgrassbeam.Request) *errorResponse {
 	if h.config.TimeLimit == nil {
 		return nil
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -24,7 +24,7 @@
 	return eelgrassbeam.Reply{RequestID: request.ID, Outcome: eelgrassbeam.OutcomeAnswered, Status: http.StatusOK}
 }
 
-// Guards against requests that outlast a stop of this entry, which cuts them.
+// Guards against requests that are cut because they outlast the stop of this entry.
 func TestTimeLimit(t *testing.T) {
 	source := newStaticSource(1)
 	source.configuration.Defaults.BodyLimitBytes = 1
--- a/directserver/odd_answer_test.go
+++ b/directserver/odd_answer_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// requireBadGateway checks that none of the answers reaches a caller as one. The request may have run, so that the caller must
-// not be told that it hasn't.
+// requireBadGateway checks that callers get 502 in place of each answer. The request may have run, so that callers must not be
+// told that it hasn't.
 func requireBadGateway(t *testing.T, answers []string) {
 	t.Helper()
 	s := newTestCluster(t, 0)
@@ -88,7 +88,7 @@
 	}
 }
 
-// Guards against an answer with a status that is none, of an upstream in trouble, that reaches the caller as an answer.
+// Guards against answers with an invalid status code that reach callers.
 func TestOddStatusesDoNotReachCallers(t *testing.T) {
 	var answers []string
 	for _, status := range oddStatuses {
@@ -97,13 +97,13 @@
 	requireBadGateway(t, answers)
 }
 
-// Guards against a success that no upstream vouches for.
+// Guards against successes without a receipt that reach callers.
 func TestSuccessesWithoutReceiptDoNotReachCallers(t *testing.T) {
 	const rest = "X-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok"
 	requireBadGateway(t, []string{"200 OK\r\n" + rest, "200 OK\r\nX-Server-Stamp:\r\n" + rest, "204 No Content\r\n" + rest, "299 OK\r\n" + rest})
 }
 
-// Guards against an answer with a field name that is none, of an upstream in trouble, that reaches the caller as an answer.
+// Guards against answers with an invalid field name that reach callers.
 func TestInvalidFieldNamesDoNotReachCallers(t *testing.T) {
 	var answers []string
 	for _, line := range []string{"X Odd: 1", "X-Odd : 1", " X-Odd: 1", "X\x01Odd: 1", "Content-Length : 1", "Transfer-Encoding : chunked"} {
@@ -112,8 +112,8 @@
 	requireBadGateway(t, answers)
 }
 
-// Guards against a part of an answer, sent before an upload is read and then reset, that reaches the caller as a success. Each
-// upstream gets few uploads, since it is ejected after two failures.
+// Guards against a partial answer that reaches callers as a success: the upstream sends it before it has read the upload, and
+// resets the connection. There are many upstreams because each is ejected after two failures.
 func TestResetAnswersToUploadsDoNotReachCallers(t *testing.T) {
 	const upstreams, uploads, uploadBytes = 100, 200, 900_000
 	s := newTestCluster(t, 0)
--- a/directserver/stop_test.go
+++ b/directserver/stop_test.go
@@ -20,8 +20,8 @@
 // arrivalInterval is the time between the requests of a test that sends them at any moment of a stop.
 const arrivalInterval = 100 * time.Millisecond
 
-// newStoppingCluster returns a running entry with the time to stop, whose two upstreams of three slots take the given time for
-// a request, and a function that reports whether a request has reached one.
+// newStoppingCluster returns a running entry with the given grace period, whose two upstreams have three slots each and take
+// the given time for a request, and a function that reports whether a request has reached an upstream.
 func newStoppingCluster(t *testing.T, grace, work, timeout time.Duration) (e *testEntry, hasRun func(id string) bool) {
 	t.Helper()
 	s := newTestCluster(t, 0)
@@ -60,8 +60,8 @@
 	return response.StatusCode
 }
 
-// Guards against requests that come during a stop, are passed on to an upstream and cut without an answer at its end. Each
-// comes on a connection of its own, half of which were open before.
+// Guards against requests that arrive during a stop, are forwarded to an upstream and cut without an answer at the end of the
+// grace period. Each arrives on its own connection, every other one of which was open before.
 func TestStopAnswersWhatItPassesOn(t *testing.T) {
 	const grace = 2 * time.Second
 	e, hasRun := newStoppingCluster(t, grace, 500*time.Millisecond, 5*time.Second)
@@ -104,8 +104,7 @@
 	}
 }
 
-// Guards against requests that wait for an upstream until the end of a stop and are cut, though the entry could say that
-// they haven't run.
+// Guards against queued requests that are cut at the end of a stop, although the entry knows that they have not run.
 func TestStopRejectsWhatStillWaits(t *testing.T) {
 	const grace = 3 * time.Second
 	e, hasRun := newStoppingCluster(t, grace, time.Minute, time.Minute)
--- a/dispatchserver/dispatchserver.go
+++ b/dispatchserver/dispatchserver.go
@@ -69,7 +69,7 @@
 	peerServer                   *grpc.Server
 	listeners                    listeners
 	stopping                     atomic.Bool
-	// stopEnd is the time at which a planned stop is cut off, nil before one has begun.
+	// stopEnd is when a planned stop times out; nil before one has begun.
 	stopEnd atomic.Pointer[time.Time]
 }
 
--- a/dispatchserver/run.go
+++ b/dispatchserver/run.go
@@ -16,10 +16,11 @@
 	"github.com/eelgrassbeam/eelgrassbeam/monitor"
 )
 
-// finishShare is the share of the time of a planned stop in which no request is taken any more, and answerReserve the time for
-// the answer to one that ends with its deadline.
 const (
-	finishShare   = 1.0 / 3
+	// finishShare is the last part of a planned stop, as a share of StopTimeout, in which no new requests are accepted.
+	finishShare = 1.0 / 3
+	// answerReserve is the time before the end of a planned stop at which the deadlines of new requests end, so that their
+	// responses can still be written.
 	answerReserve = 200 * time.Millisecond
 )
 
@@ -146,11 +147,12 @@
 	}
 }
 
+// finishTime returns the last part of a planned stop, in which no new requests are accepted.
 func (s *Server) finishTime() time.Duration {
 	return time.Duration(finishShare * float64(s.config.StopTimeout))
 }
 
-// requestTimeLimit returns how long a request that comes now may take, zero if a planned stop leaves too little time.
+// requestTimeLimit returns the maximum time to the deadline of a new request, zero if none is accepted any more.
 func (s *Server) requestTimeLimit() time.Duration {
 	end := s.stopEnd.Load()
 	if end == nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -31,7 +31,7 @@
 	// noBufferRetryAfter is the Retry-After of an entry whose buffers are full. Those are free after the longest usual
 	// timeout of a route at the latest.
 	noBufferRetryAfter = time.Second
-	// stoppingRetryAfter is the Retry-After of an entry that stops. Others take the request at once.
+	// stoppingRetryAfter is the Retry-After of an entry that stops. Other entries accept the request immediately.
 	stoppingRetryAfter = 50 * time.Millisecond
 	// retryShare is the share of first attempts that may be retried. It is half of the retry ratio
 	// (budget_ratio in the terms of the settings) that applies to all entries together, because each entry and each
--- a/forwarder/reservations.go
+++ b/forwarder/reservations.go
@@ -2,8 +2,8 @@
 
 import "sync"
 
-// reservations holds buffer space until it is released. What is added later, by an exchange that was given up, is released
-// at once.
+// reservations holds the buffer space of a request until it is released. Space that an abandoned exchange adds later is
+// released immediately.
 type reservations struct {
 	mu         sync.Mutex
 	releases   []func()
--- a/forwarder/reservations_test.go
+++ b/forwarder/reservations_test.go
@@ -6,7 +6,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against buffer space that is lost for good, since an exchange that was given up reserved it too late.
+// Guards against a leak of buffer space that an abandoned exchange reserves after the end of its request.
 func TestReservations(t *testing.T) {
 	is := is.New(t)
 	var held reservations
--- a/headchecker/headchecker.go
+++ b/headchecker/headchecker.go
@@ -1,5 +1,4 @@
-// Package headchecker checks the head of an HTTP response for what net/http lets through although it makes the response
-// invalid.
+// Package headchecker validates the head of an HTTP response, its status line and header fields, beyond what net/http does.
 package headchecker
 
 import (
@@ -13,21 +12,22 @@
 const maxStatus = 599
 
 var (
-	// ErrStatus reports a status that is not a final one of HTTP.
+	// ErrStatus reports a status code that is not a final one: below 200 or above 599.
 	ErrStatus = errors.New("invalid status")
-	// ErrStatusLine reports a first line without a version or a status.
+	// ErrStatusLine reports a status line without a valid version or status code.
 	ErrStatusLine = errors.New("invalid status line")
 	// ErrFieldName reports a field whose name is not a token.
 	ErrFieldName = errors.New("invalid field name")
-	// ErrFieldValue reports a field with a control byte in its value, or one that delimits the body whose value is too long.
+	// ErrFieldValue reports a control byte in a field value, or too long a value of a field that frames the body.
 	ErrFieldValue = errors.New("invalid field value")
-	// ErrTooLarge reports a head that takes too much memory.
+	// ErrTooLarge reports a head that would take too much memory.
 	ErrTooLarge = errors.New("head too large")
-	// ErrTransferCoding reports a transfer coding in a version of HTTP that has none.
+	// ErrTransferCoding reports a Transfer-Encoding field in a response of a version before HTTP/1.1.
 	ErrTransferCoding = errors.New("transfer coding before HTTP/1.1")
 )
 
-// Check returns an error if the response has an invalid head, so that nothing that it says may be used.
+// Check returns an error if the parsed response has an invalid status code or field name. Nothing in such a response can be
+// relied on.
 func Check(response *http.Response) error {
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return fmt.Errorf("%w %d", ErrStatus, response.StatusCode)
--- a/headchecker/scanner.go
+++ b/headchecker/scanner.go
@@ -9,26 +9,27 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// keptBytes is the number of bytes of a line that Scanner keeps: more than a version and a status, or transferCoding, have.
+// keptBytes is the number of bytes that Scanner keeps of a status line or a field name, enough for version and status code
+// and for the names below.
 const keptBytes = 32
 
 const (
-	// lineCost is the memory, in bytes, that a parsed field takes besides its text.
+	// lineCost is the memory, in bytes, that a parsed field takes in addition to its text.
 	lineCost = 200
-	// maxCost bounds the memory, in bytes, that heads may take.
+	// maxCost is the maximum memory, in bytes, of a head and the interim ones before it.
 	maxCost = 256 << 10
 )
 
-// The names of the fields that delimit a body. Only HTTP/1.1 has transfer codings.
+// The names of the fields that frame a body.
 const (
 	transferCoding = "Transfer-Encoding"
 	contentLength  = "Content-Length"
 )
 
-// maxFramingBytes bounds the values of the fields that delimit a body, in bytes of all together: a parser's error quotes them.
+// maxFramingBytes is the maximum size, in bytes, of all values of framing fields, which errors of net/http quote.
 const maxFramingBytes = 256
 
-// part is the part of a response that a byte belongs to.
+// part is a part of a response.
 type part string
 
 const (
@@ -36,47 +37,46 @@
 	partLineStart  part = "line_start"
 	partName       part = "name"
 	partValue      part = "value"
-	// partBody is what no head is expected in.
+	// partBody is everything outside a head.
 	partBody part = ""
 )
 
-// Scanner checks heads in the bytes of a connection for what parsing hides:
-//   - net/http takes a line that begins with a blank for the continuation of the line before, so that such a name is part of
-//     another field's value.
-//   - It drops the transfer coding of an HTTP/1.0 response, whose body then holds the sizes of chunks.
-//   - Its errors quote invalid lines at any length.
+// Scanner validates response heads in the byte stream of a connection, where it sees what net/http hides or mishandles:
+//   - net/http appends a line that begins with a blank to the value of the previous field.
+//   - It ignores the Transfer-Encoding of an HTTP/1.0 response, whose body then includes the chunk sizes.
+//   - Its errors quote invalid lines whatever their length.
 //
 // The zero value expects no head.
 type Scanner struct {
 	part part
 	// kept is the start of the status line or of the current field's name.
 	kept []byte
-	// isFraming is set if the current field delimits the body, and framingLeft is the number of bytes left for the values of
+	// isFraming is set if the current field frames the body, and framingLeft is the number of bytes left for the values of
 	// such fields.
 	isFraming   bool
 	framingLeft int
 	// isAfterReturn is set behind a carriage return, which only the end of the line may follow.
 	isAfterReturn bool
-	// cost is the memory, in bytes, that the parsed heads take.
+	// cost is the memory, in bytes, that the head takes once it is parsed.
 	cost int64
-	// isInterim is set if another head follows this one, and isOld if its version is below HTTP/1.1.
+	// isInterim is set if the head is that of an interim response, and isOld if its version is before HTTP/1.1.
 	isInterim, isOld bool
 }
 
-// Expect makes the next byte the first one of a response.
+// Expect resets the scanner: the next byte is the first one of a response.
 func (s *Scanner) Expect() {
 	s.cost = 0
 	s.expectHead()
 }
 
-// Cost returns the memory, in bytes, that the head takes as far as it is scanned, with the interim ones before it.
+// Cost returns the memory, in bytes, that the head takes as far as it is scanned, including interim ones before it.
 func (s *Scanner) Cost() int64 { return s.cost }
 
 func (s *Scanner) expectHead() {
 	s.part, s.kept, s.framingLeft = partStatusLine, s.kept[:0], maxFramingBytes
 }
 
-// Scan checks bytes that follow those before, up to the end of the head. Interim responses are checked, too.
+// Scan validates the next bytes of the connection up to the end of the head. Bytes of the body are ignored.
 func (s *Scanner) Scan(p []byte) error {
 	for i := 0; i < len(p) && s.part != partBody; i++ {
 		if err := s.next(p[i]); err != nil {
@@ -117,7 +117,7 @@
 	switch {
 	case isAfterReturn && b != '\n', isStart && b == ':':
 		return fmt.Errorf("%w: empty", ErrFieldName)
-	case s.isAfterReturn: // of the empty line behind the head
+	case s.isAfterReturn: // the start of the empty line that ends the head
 	case isStart && b == '\n' && s.isInterim:
 		s.expectHead()
 	case isStart && b == '\n':
@@ -133,7 +133,7 @@
 	return nil
 }
 
-// beginValue begins the value of the field whose name was kept.
+// beginValue ends a field name.
 func (s *Scanner) beginValue() error {
 	name := string(s.kept)
 	s.part, s.kept = partValue, s.kept[:0]
@@ -168,7 +168,7 @@
 	}
 }
 
-// readStatusLine takes version and status from what was kept.
+// readStatusLine parses the version and the status code.
 func (s *Scanner) readStatusLine() error {
 	version, rest, _ := strings.Cut(string(s.kept), " ")
 	s.kept = s.kept[:0]
--- a/peer/cut_answer_test.go
+++ b/peer/cut_answer_test.go
@@ -16,7 +16,7 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// answerPing reads a call and answers it with a whole message, but without the trailers that end an answer.
+// answerPing answers a call with a complete message, but without the trailers that end a response.
 func answerPing(conn net.Conn) {
 	framer := http2.NewFramer(conn, conn)
 	_, _ = io.CopyN(io.Discard, conn, int64(len(http2.ClientPreface)))
@@ -40,7 +40,7 @@
 	}
 }
 
-// Guards against a part of a peer's answer, or bytes that are none, counting as an answer.
+// Guards against accepting a peer's incomplete response, or bytes that are no gRPC response.
 func TestCutAnswerOfPeer(t *testing.T) {
 	for name, answer := range map[string]func(conn net.Conn){
 		"message without trailers": answerPing,
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -44,7 +44,7 @@
 	Key string
 	// StartBy is the latest time at which the request may be sent to an upstream.
 	StartBy time.Time
-	// Deadline is when the request ends in any case.
+	// Deadline is when the request ends, answered or not.
 	Deadline time.Time
 	// Tried holds the upstreams of earlier attempts, which are not selected again.
 	Tried []eelgrassbeam.UpstreamID
@@ -74,7 +74,7 @@
 	entries        []eelgrassbeam.EntryID
 	entriesAt      time.Time
 	entriesVersion uint64
-	// stopBy is when this entry stops, zero before that is known, and stopping is closed then.
+	// stopBy is when this entry stops; zero until Stop is called, which closes stopping.
 	stopBy   time.Time
 	stopping chan struct{}
 }
--- a/picker/stop.go
+++ b/picker/stop.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// stopMargin is the number of mean service times that must be left to the end of a stop for a request to be started.
+// stopMargin is the time before the stop in which a request is no longer started, as a multiple of its mean service time.
 const stopMargin = 2
 
-// ErrStopping reports a request that can't be expected to be answered before this entry stops.
+// ErrStopping reports a request that is unlikely to be answered before this entry stops.
 var ErrStopping = errors.New("this entry stops before the request is likely to be answered")
 
-// Stop makes requests fail with ErrStopping, those that wait included, once they can't be expected to be answered by the
-// time.
+// Stop announces when this entry stops. From now on, Acquire fails with ErrStopping for requests that are unlikely to be
+// answered by then, including those that already wait.
 func (p *Picker) Stop(by time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -22,8 +22,8 @@
 	}
 }
 
-// stopLimit returns the latest time at which the request may be started before this entry stops, false if there is none. The
-// caller must hold p.mu.
+// stopLimit returns the latest time at which the request may be started before this entry stops, or false if the stop doesn't
+// limit it. The caller must hold p.mu.
 func (p *Picker) stopLimit(job Job) (time.Time, bool) {
 	if p.stopBy.IsZero() || !job.Deadline.After(p.stopBy) {
 		return time.Time{}, false
@@ -31,8 +31,8 @@
 	return p.stopBy.Add(-stopMargin * max(p.serviceTimes[job.Route.Name], minServiceTime)), true
 }
 
-// latestStart returns the latest time until which the request may wait for an upstream, and the error of one that gets none.
-// The caller must hold p.mu.
+// latestStart returns the latest time at which a queued request may be started, and the error if it gets no slot by then. The
+// caller must hold p.mu.
 func (p *Picker) latestStart(job Job) (time.Time, error) {
 	if limit, ok := p.stopLimit(job); ok && limit.Before(job.StartBy) {
 		return limit, ErrStopping
@@ -40,8 +40,8 @@
 	return job.StartBy, ErrOverloaded
 }
 
-// waitLimit returns how long the request may wait for a slot, a channel that is closed when that changes, and the error if
-// it gets none.
+// waitLimit returns how long the request may wait for a slot, a channel that is closed when this changes, and the error if it
+// gets no slot by then.
 func (p *Picker) waitLimit(job Job) (limit time.Duration, changed <-chan struct{}, late error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/picker/stop_test.go
+++ b/picker/stop_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against requests that are started too late to be answered before this entry stops.
+// Guards against requests that are started too late to be answered before the entry stops.
 func TestStop(t *testing.T) {
 	const serviceTime, left = 300 * time.Millisecond, 500 * time.Millisecond // less than stopMargin service times
 	for name, test := range map[string]struct {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -65,7 +65,7 @@
 	Leaving string
 	// Team names the request header with the ID of the request's team.
 	Team string
-	// Receipt names the response header by which an upstream confirms a 2xx response.
+	// Receipt names the response header that every 2xx response of an upstream carries as a receipt.
 	Receipt string
 	// AcceptUnframed accepts responses without a length, whose end is the close of the connection.
 	AcceptUnframed bool
--- a/upstream/early_answer_test.go
+++ b/upstream/early_answer_test.go
@@ -19,9 +19,9 @@
 
 const (
 	earlyBody = "the whole body"
-	// uploadBytes is more than what the socket buffers hold of a request that the upstream doesn't read.
+	// uploadBytes exceeds what the socket buffers hold.
 	uploadBytes = 900_000
-	// earlyRepeats is how often a race is played.
+	// earlyRepeats is the number of attempts to trigger a race.
 	earlyRepeats = 100
 )
 
@@ -92,8 +92,8 @@
 	return c
 }
 
-// Guards against a part of an answer without a length that the client got as a whole one: the upstream answered an upload
-// at once and reset the connection, and the write of the upload took the error that the read would have got.
+// Guards against a partial response without a length that counts as complete. The upstream responds to an upload before it has
+// read it, and resets the connection; the write of the upload gets the error, and the read io.EOF.
 func TestEarlyAnswers(t *testing.T) {
 	requests := map[string]eelgrassbeam.Request{
 		"upload": newPost("r1", strings.Repeat("x", uploadBytes)), "small body": newPost("r1", "x"), "no body": newPost("r1", ""),
@@ -101,7 +101,7 @@
 	for _, test := range []struct {
 		body string
 		end  ending
-		// isAnswered is set if the answer must reach the client. A whole one that is followed by a reset may be lost.
+		// isAnswered is set if the client must accept the answer. A complete one that is followed by a reset may be lost.
 		isAnswered bool
 	}{
 		{earlyBody[:5], endingReset, false}, {earlyBody, endingHalfClose, true}, {earlyBody, endingReset, false}, {earlyBody, endingClose, false},
@@ -127,8 +127,8 @@
 	}
 }
 
-// Guards against the same, in the order in which it comes about. The end of an upstream that has closed its sending side in
-// order stays one, whatever becomes of the upload.
+// Guards against the same, with a write that always fails before the read. If the upstream has closed its sending side before
+// the reset, the response is complete.
 func TestReadAfterFailedWrite(t *testing.T) {
 	for name, closesInOrder := range map[string]bool{"reset": false, "half-close, then reset": true} {
 		t.Run(name, func(t *testing.T) {
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -15,7 +15,7 @@
 	ErrConnectionFailed = errors.New("connection failed during the exchange")
 	// ErrRequestIDMismatch reports a response that does not carry the request's ID.
 	ErrRequestIDMismatch = errors.New("response does not carry the request's id")
-	// ErrReceipt reports a 2xx response without the receipt of an upstream.
+	// ErrReceipt reports a 2xx response without the receipt that the dialect requires.
 	ErrReceipt = errors.New("response has no receipt")
 	// ErrTruncated reports a response that ended early or whose end can't be verified.
 	ErrTruncated = errors.New("response is incomplete")
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -42,8 +42,8 @@
 	lengthLine = "Content-Length: 4"
 )
 
-// Guards against an answer in whose head the name of a field holds a blank or a control byte: the client got it with that
-// line passed on, or, without the length that the line should have given, with a body cut short.
+// Guards against accepting an answer with a blank or a control byte in a field name. The client passed the field on, or, if it
+// was the one that frames the body, returned a wrong body.
 func TestAnswerWithInvalidFieldName(t *testing.T) {
 	for _, line := range []string{
 		"X Odd: 1", "X-Odd : 1", " X-Odd: 1", "\tX-Odd: 1", " ", "X\tOdd: 1", "X-Odd\t: 1", "X\x00Odd: 1", "X\x01Odd: 1", "X\x7fOdd: 1",
@@ -67,7 +67,7 @@
 	}
 }
 
-// Guards against the sizes of chunks in the body that a client gets.
+// Guards against chunk sizes in the body.
 func TestAnswerWithTransferCodingBeforeHTTP11(t *testing.T) {
 	for _, line := range []string{"Transfer-Encoding: chunked", "transfer-encoding:CHUNKED", "Transfer-Encoding: gzip, chunked"} {
 		for _, head := range [][]string{{"HTTP/1.0 200 OK", idLine, line}, {"HTTP/1.0 200 OK", line, lengthLine, idLine}, {"HTTP/0.9 200 OK", idLine, line}} {
@@ -76,7 +76,7 @@
 	}
 }
 
-// Guards against errors that quote a response at any length. They took several times the memory of its head.
+// Guards against errors that quote a response whatever its length, and so take several times the memory of its head.
 func TestErrorsOfResponsesAreShort(t *testing.T) {
 	long := strings.Repeat("\x01", 200<<10)
 	for name, head := range map[string][]string{
@@ -105,7 +105,7 @@
 	}
 }
 
-// Unusual heads that are valid stay accepted.
+// Guards against rejecting valid heads.
 func TestAnswerWithUnusualHead(t *testing.T) {
 	for name, head := range map[string][]string{
 		"characters of a token": {statusLine, idLine, lengthLine, "!#$%&'*+-.^_`|~0aZ: 1"},
@@ -131,7 +131,7 @@
 	}
 }
 
-// Guards against heads that take memory which nothing accounts for: many large ones at once, or with many short fields.
+// Guards against heads whose memory is not accounted for.
 func TestHeadTakesBufferSpace(t *testing.T) {
 	large := "X-Large: " + strings.Repeat("a", 100<<10)
 	t.Run("a large head reserves what isn't reserved yet", func(t *testing.T) {
--- a/upstream/reservation.go
+++ b/upstream/reservation.go
@@ -5,8 +5,8 @@
 	"fmt"
 )
 
-// reservation is the buffer space of one response, of its head and of its body. It is used by one goroutine at a time: the
-// one that reads the head, then the one that reads the body.
+// reservation accounts for the buffer space of one response, head and body. It is used by one goroutine at a time: first by
+// the one that reads the head, then by the one that reads the body.
 type reservation struct {
 	limits         Limits
 	used, reserved int64
@@ -16,7 +16,8 @@
 	return &reservation{limits: limits, reserved: limits.ReservedBytes}
 }
 
-// add reserves space for more bytes, as far as it isn't reserved yet. It returns ErrNoBuffer without space.
+// add accounts for more bytes and reserves the space that they need above ReservedBytes. It returns ErrNoBuffer if there is
+// none.
 func (r *reservation) add(ctx context.Context, bytes int64) error {
 	r.used += bytes
 	if r.used <= r.reserved || r.limits.Reserve == nil {
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -13,7 +13,7 @@
 	"github.com/eelgrassbeam/eelgrassbeam/headchecker"
 )
 
-// maxQuotedBytes bounds what an error quotes of a response.
+// maxQuotedBytes is the maximum length of a header value that is quoted in an error.
 const maxQuotedBytes = 128
 
 // IsLeaving reports whether the reply says that the upstream accepts no new requests.
@@ -139,7 +139,7 @@
 	return c.config.Dialect.ExpectedID != "" && response.StatusCode == http.StatusMisdirectedRequest
 }
 
-// lacksReceipt reports whether a 2xx response isn't confirmed as its upstream's own.
+// lacksReceipt reports whether the response is a 2xx without the receipt that the dialect requires.
 func (c *Client) lacksReceipt(response *http.Response) bool {
 	name := c.config.Dialect.Receipt
 	return name != "" && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(name) == ""
--- a/upstream/tracked_conn.go
+++ b/upstream/tracked_conn.go
@@ -16,8 +16,8 @@
 const writeChunkBytes = 64 << 10
 
 // trackedConn records whether any byte of an exchange was written to the socket, and extends the read and write
-// deadlines whenever bytes are written or read. Its stream ends with io.EOF only if the upstream has closed it in order, and
-// with ErrHead at an invalid head.
+// deadlines whenever bytes are written or read. Reads return io.EOF only after an orderly close by the upstream, and ErrHead at
+// an invalid head.
 type trackedConn struct {
 	net.Conn
 	clock           eelgrassbeam.Clock
@@ -29,7 +29,7 @@
 	writesClosed     bool
 	writesInProgress int   // calls to the socket's Write
 	bytesWritten     int64 // bytes written in the current exchange
-	// writeFailure is the error of a write that tells that the connection broke off.
+	// writeFailure is the error of a write that failed because the connection was broken.
 	writeFailure error
 	// writesEnded is closed when writesInProgress falls to zero after the end of the stream; nil if nothing waits.
 	writesEnded chan struct{}
@@ -38,8 +38,8 @@
 	reserveHead func(bytes int64) error
 }
 
-// beginExchange resets the byte count and sets the progress timeout and the function that reserves buffer space for the head
-// of the response.
+// beginExchange resets the byte count and sets the progress timeout and the function that reserves buffer space for the
+// response's head.
 func (c *trackedConn) beginExchange(timeout time.Duration, reserveHead func(bytes int64) error) {
 	c.mu.Lock()
 	c.bytesWritten = 0
@@ -116,7 +116,7 @@
 	}
 	switch {
 	case err == nil, errors.Is(err, net.ErrClosed), errors.Is(err, syscall.EPIPE):
-		// EPIPE comes before any reset only if the upstream has closed the connection in order.
+		// The first error is EPIPE, not ECONNRESET, if the upstream closed its side before the reset.
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		c.writeFailure = err
 	case c.writesClosed:
--- a/upstream/tracked_read.go
+++ b/upstream/tracked_read.go
@@ -6,8 +6,8 @@
 	"io"
 )
 
-// Read implements net.Conn. The kernel reports that a connection broke off only once: if a write got that error, the stream
-// seems to end in order.
+// Read implements net.Conn. The kernel reports a reset only once: after a write has returned that error, a read returns io.EOF,
+// as after an orderly close.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
@@ -17,11 +17,12 @@
 	}
 	c.recordIO(n, err)
 	if invalid := c.scanHead(p[:n]); invalid != nil {
-		return 0, invalid // without the bytes, with which the head might be complete
+		return 0, invalid // net/http would use the bytes despite the error
 	}
 	return n, err
 }
 
+// scanHead validates bytes of the response's head and reserves buffer space for them.
 func (c *trackedConn) scanHead(p []byte) error {
 	c.mu.Lock()
 	before := c.head.Cost()
@@ -37,8 +38,8 @@
 	return reserve(cost)
 }
 
-// stopWrites rejects all further writes, ends the one in progress and returns the error of a write to a connection that
-// broke off, nil if none.
+// stopWrites rejects all further writes, aborts the one in progress and returns the error if a write failed because the
+// connection was broken.
 func (c *trackedConn) stopWrites() error {
 	c.mu.Lock()
 	c.writesClosed = true
